--- a/src/main/java/kestrelroute/Main.java
+++ b/src/main/java/streamproxy/Main.java
@@ -1,7 +1,7 @@
-package kestrelroute;
+package streamproxy;
 
 import java.io.IOException;
-import kestrelroute.benchlink.BenchLink;
+import streamproxy.benchlink.BenchLink;
 
 /** Command-line entry: dispatches to the bench link, the only subcommand. */
 public final class Main {
@@ -9,7 +9,7 @@
 
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar kestrelroute.jar benchlink");
+            System.err.println("usage: java -jar streamproxy.jar benchlink");
             System.exit(2);
         }
         System.exit(BenchLink.run(System.in, System.out, System.err));
--- a/src/main/java/kestrelroute/Policy.java
+++ b/src/main/java/streamproxy/Policy.java
@@ -1,7 +1,7 @@
-package kestrelroute;
+package streamproxy;
 
 import java.util.*;
-import kestrelroute.Routing.*;
+import streamproxy.Routing.*;
 
 /**
  * Every routing decision of one gateway. The interface (settings, events, actions) is Routing.java.
--- a/src/main/java/kestrelroute/Routing.java
+++ b/src/main/java/streamproxy/Routing.java
@@ -1,4 +1,4 @@
-package kestrelroute;
+package streamproxy;
 
 import java.util.List;
 import java.util.Objects;
--- a/src/main/java/kestrelroute/benchlink/BenchLink.java
+++ b/src/main/java/streamproxy/benchlink/BenchLink.java
@@ -1,4 +1,4 @@
-package kestrelroute.benchlink;
+package streamproxy.benchlink;
 
 import java.io.EOFException;
 import java.io.IOException;
@@ -12,8 +12,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import kestrelroute.Policy;
-import kestrelroute.Routing;
+import streamproxy.Policy;
+import streamproxy.Routing;
 
 /** Hosts instances of the module on the simulator's wire. It frames and translates; it decides nothing. */
 public final class BenchLink {
--- a/src/main/java/kestrelroute/benchlink/ReplyBuffer.java
+++ b/src/main/java/streamproxy/benchlink/ReplyBuffer.java
@@ -1,4 +1,4 @@
-package kestrelroute.benchlink;
+package streamproxy.benchlink;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -6,7 +6,7 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import kestrelroute.Routing;
+import streamproxy.Routing;
 
 /** Collects the action records of one reply; the instance that acts is set before each event. */
 final class ReplyBuffer implements Routing.Actions {
--- a/src/main/java/kestrelroute/benchlink/ReportLayout.java
+++ b/src/main/java/streamproxy/benchlink/ReportLayout.java
@@ -1,7 +1,7 @@
-package kestrelroute.benchlink;
+package streamproxy.benchlink;
 
 import java.nio.ByteBuffer;
-import kestrelroute.Routing;
+import streamproxy.Routing;
 
 /** Turns the wire's numbered report values into named measures. */
 final class ReportLayout {
--- a/src/main/java/kestrelroute/benchlink/SettingsText.java
+++ b/src/main/java/streamproxy/benchlink/SettingsText.java
@@ -1,11 +1,11 @@
-package kestrelroute.benchlink;
+package streamproxy.benchlink;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import kestrelroute.Routing;
+import streamproxy.Routing;
 
 /** Reads the path=value settings of an instance. Unknown paths are passed over. */
 final class SettingsText {
--- a/src/test/java/kestrelroute/ExampleTest.java
+++ b/src/test/java/streamproxy/ExampleTest.java
@@ -1,4 +1,4 @@
-package kestrelroute;
+package streamproxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/kestrelroute/GeneralityTest.java
+++ b/src/test/java/streamproxy/GeneralityTest.java
@@ -1,18 +1,18 @@
-package kestrelroute;
+package streamproxy;
 
-import static kestrelroute.Rig.MS;
-import static kestrelroute.Rig.S;
-import static kestrelroute.Rig.ready;
-import static kestrelroute.Rig.safe;
-import static kestrelroute.Rig.settings;
+import static streamproxy.Rig.MS;
+import static streamproxy.Rig.S;
+import static streamproxy.Rig.ready;
+import static streamproxy.Rig.safe;
+import static streamproxy.Rig.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTimeout;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
-import kestrelroute.Routing.Health;
-import kestrelroute.Routing.ListForm;
-import kestrelroute.Routing.Reports;
+import streamproxy.Routing.Health;
+import streamproxy.Routing.ListForm;
+import streamproxy.Routing.Reports;
 import org.junit.jupiter.api.Test;
 
 /** Settings unlike the deployments that the module was scored on. */
--- a/src/test/java/kestrelroute/PolicyTest.java
+++ b/src/test/java/streamproxy/PolicyTest.java
@@ -1,12 +1,12 @@
-package kestrelroute;
-
-import static kestrelroute.Rig.MS;
-import static kestrelroute.Rig.S;
-import static kestrelroute.Rig.at;
-import static kestrelroute.Rig.clazz;
-import static kestrelroute.Rig.ready;
-import static kestrelroute.Rig.safe;
-import static kestrelroute.Rig.settings;
+package streamproxy;
+
+import static streamproxy.Rig.MS;
+import static streamproxy.Rig.S;
+import static streamproxy.Rig.at;
+import static streamproxy.Rig.clazz;
+import static streamproxy.Rig.ready;
+import static streamproxy.Rig.safe;
+import static streamproxy.Rig.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -16,12 +16,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import kestrelroute.Routing.Effect;
-import kestrelroute.Routing.Group;
-import kestrelroute.Routing.Health;
-import kestrelroute.Routing.ListForm;
-import kestrelroute.Routing.Outcome;
-import kestrelroute.Routing.Reports;
+import streamproxy.Routing.Effect;
+import streamproxy.Routing.Group;
+import streamproxy.Routing.Health;
+import streamproxy.Routing.ListForm;
+import streamproxy.Routing.Outcome;
+import streamproxy.Routing.Reports;
 import org.junit.jupiter.api.Test;
 
 class PolicyTest {
--- a/src/test/java/kestrelroute/Rig.java
+++ b/src/test/java/streamproxy/Rig.java
@@ -1,4 +1,4 @@
-package kestrelroute;
+package streamproxy;
 
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/test/java/kestrelroute/benchlink/BenchLinkTest.java
+++ b/src/test/java/streamproxy/benchlink/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package kestrelroute.benchlink;
+package streamproxy.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
