--- /dev/null
+++ b/src/main/java/streamproxy/protocol/NodeConfig.java
@@ -0,0 +1,109 @@
+package streamproxy.protocol;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+
+/** What a router is told at its start, by its environment and the file that it names. */
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        Object known, String settings) {
+    /** What the router was told cannot be used; the message says why in one line. */
+    public static final class Unusable extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Unusable(String why) { super(why); }
+    }
+
+    public static NodeConfig read(Map<String, String> environment) throws Unusable {
+        String file = need(environment, "NODE_CONFIG");
+        Map<String, Object> config;
+        try {
+            config = Json.object(Json.parse(Files.readString(Path.of(file))));
+        } catch (IOException | InvalidPathException e) {
+            throw new Unusable("NODE_CONFIG: cannot read " + file);
+        } catch (Json.Malformed e) {
+            throw new Unusable("NODE_CONFIG: " + e.getMessage());
+        }
+        if (!(config.get("settings") instanceof Map)) {
+            throw new Unusable("NODE_CONFIG: no settings");
+        }
+        StringBuilder settings = new StringBuilder();
+        flatten("", config.get("settings"), settings);
+        double sockets = Json.number(Json.object(config.get("limits")).get("sockets"), 1024);
+        return new NodeConfig(need(environment, "NODE_NAME"), address("NODE_LISTEN", need(environment, "NODE_LISTEN")),
+                address("NODE_DISCOVERY", need(environment, "NODE_DISCOVERY")), seed(config.get("seed")),
+                (int) sockets, config.get("known"), settings.toString());
+    }
+
+    private static String need(Map<String, String> environment, String name) throws Unusable {
+        String value = environment.get(name);
+        if (value == null || value.isBlank()) {
+            throw new Unusable(name + " is not set");
+        }
+        return value.strip();
+    }
+
+    private static InetSocketAddress address(String name, String text) throws Unusable {
+        try {
+            return address(text);
+        } catch (IllegalArgumentException e) {
+            throw new Unusable(name + ": not an address and port: " + text);
+        }
+    }
+
+    /** An address and port as in {@code 10.0.0.4:8081}; names are not looked up. */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        if (!host.matches("\\d{1,3}(\\.\\d{1,3}){3}")) {
+            throw new IllegalArgumentException("not an address: " + text);
+        }
+        return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    private static long seed(Object value) throws Unusable {
+        String text = Json.string(value, "0");
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new Unusable("NODE_CONFIG: seed is not hexadecimal: " + text);
+        }
+    }
+
+    /** Nested settings as path=value lines, the form in which the simulator gives them. */
+    static void flatten(String path, Object value, StringBuilder to) {
+        if (value instanceof Map) {
+            for (Map.Entry<String, Object> e : Json.object(value).entrySet()) {
+                flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(), e.getValue(), to);
+            }
+        } else if (value instanceof List) {
+            List<Object> items = Json.list(value);
+            if (items.stream().anyMatch(i -> i instanceof Map)) {
+                line(path + ".count", String.valueOf(items.size()), to);
+                for (int i = 0; i < items.size(); i++) {
+                    flatten(path + "." + i, items.get(i), to);
+                }
+            } else {
+                StringBuilder joined = new StringBuilder();
+                for (Object item : items) {
+                    joined.append(joined.length() > 0 ? "," : "").append(word(item));
+                }
+                line(path, joined.toString(), to);
+            }
+        } else {
+            line(path, word(value), to);
+        }
+    }
+
+    private static String word(Object value) {
+        return value == null ? "" : value.toString().replaceAll("[\\s,]", "_");
+    }
+
+    private static void line(String path, String value, StringBuilder to) {
+        to.append(path).append('=').append(value).append('\n');
+    }
+}
--- /dev/null
+++ b/src/main/java/streamproxy/routing/Attempt.java
@@ -0,0 +1,66 @@
+package streamproxy.routing;
+
+import java.util.concurrent.atomic.AtomicReference;
+import streamproxy.transport.Connection;
+
+/** One sending of a request to one model box. */
+final class Attempt {
+    private enum Phase { OUT, BOUND, OVER }
+
+    final Request request;
+    final int number;
+    final long boxId;
+    final long sentAt;
+    final long endsAt;
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.OUT);
+    private volatile Connection connection;
+
+    Attempt(Request request, int number, long boxId, long sentAt, long endsAt) {
+        this.request = request;
+        this.number = number;
+        this.boxId = boxId;
+        this.sentAt = sentAt;
+        this.endsAt = endsAt;
+    }
+
+    /** The connection that carries it, closed at once if the attempt was called off before. */
+    void carriedBy(Connection carrier) {
+        connection = carrier;
+        if (isOver()) {
+            carrier.close();
+        }
+    }
+
+    boolean isOver() { return phase.get() == Phase.OVER; }
+
+    /** Its first event is there: true where the client gets this attempt's stream. */
+    boolean bind() { return phase.compareAndSet(Phase.OUT, Phase.BOUND) && request.bind(number); }
+
+    /** The attempt has ended; true for the first who says so, whose outcome counts. */
+    boolean end() { return phase.getAndSet(Phase.OVER) != Phase.OVER; }
+
+    /** Ends an attempt that has not begun to answer, closing its connection; false where it is too late. */
+    boolean callOff() {
+        boolean off = phase.compareAndSet(Phase.OUT, Phase.OVER);
+        if (off) {
+            closeConnection();
+        }
+        return off;
+    }
+
+    /** Ends the attempt whatever it is at, since its client has left. */
+    boolean abandon() {
+        boolean first = end();
+        if (first) {
+            closeConnection();
+        }
+        return first;
+    }
+
+    private void closeConnection() {
+        Connection carrier = connection;
+        if (carrier != null) {
+            carrier.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/streamproxy/routing/BoxConnection.java
@@ -0,0 +1,212 @@
+package streamproxy.routing;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import org.tinylog.Logger;
+import streamproxy.protocol.EventStream;
+import streamproxy.protocol.HttpHead;
+import streamproxy.protocol.HttpReader;
+import streamproxy.protocol.HttpWriter;
+import streamproxy.protocol.Json;
+import streamproxy.protocol.PassedOn;
+import streamproxy.routing.Routing.LoadReport;
+import streamproxy.routing.Routing.Outcome;
+import streamproxy.transport.Connection;
+import streamproxy.transport.Threads;
+
+/** One connection to a model box and the thread that connects, writes and reads on it, one errand at a time. */
+final class BoxConnection {
+    /** An attempt to carry, or, where that is null, a probe asked for at that time. */
+    record Errand(Attempt attempt, long probeAt) { }
+
+    /** A stream without an event for so long has stopped: its client must not hang. */
+    private static final long SILENCE = 4_000_000_000L;
+    /** A probe without an answer for so long has none. */
+    private static final long PROBE_WAIT = 1_000_000_000L;
+    /** The module's actor ends an attempt in time; this only keeps a thread from waiting for ever. */
+    private static final long BEYOND = 1_000_000_000L;
+    private static final double SECOND = 1e9;
+    private static final Errand DISMISS = new Errand(null, -1);
+
+    private final ModelBox box;
+    private final Connection connection;
+    private final InetSocketAddress to;
+    private final HttpReader reader;
+    private final HttpWriter writer;
+    private final BlockingQueue<Errand> errands = new ArrayBlockingQueue<>(2);
+    private boolean connected;
+    private volatile long idleSince;
+
+    BoxConnection(ModelBox box, Connection connection, InetSocketAddress to) {
+        this.box = box;
+        this.connection = connection;
+        this.to = to;
+        reader = new HttpReader(connection);
+        writer = new HttpWriter(connection);
+    }
+
+    void start() { Threads.start("to " + to, this::run); }
+
+    void give(Errand errand) { errands.add(errand); }
+
+    /** Ends an idle connection and its thread. */
+    void dismiss() { errands.add(DISMISS); }
+
+    InetSocketAddress to() { return to; }
+
+    long idleSince() { return idleSince; }
+
+    /** For an idle one: whether the box has neither closed it nor sent what nobody asked for. */
+    boolean quiet() { return connection.look() == Connection.Look.QUIET; }
+
+    private void run() {
+        try {
+            for (Errand errand = errands.take(); errand != DISMISS; errand = errands.take()) {
+                boolean keep = errand.attempt == null ? probe(errand.probeAt) : carry(errand.attempt);
+                if (!keep || connection.isClosed()) {
+                    return;
+                }
+                idleSince = box.clock.now();
+                box.idle(this);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            connection.close();
+        }
+    }
+
+    private void connect() throws IOException {
+        if (!connected) {
+            connection.connect(to, box.deployment.connectTimeoutNs());
+            connected = true;
+        }
+    }
+
+    // ---- Attempts ---------------------------------------------------------------------------------
+
+    /** Carries one attempt to its end; true where the connection can be used again. */
+    private boolean carry(Attempt attempt) {
+        attempt.carriedBy(connection);
+        boolean written = false;
+        boolean bound = false;
+        try {
+            connect();
+            PassedOn request = attempt.request.passedOn();
+            // It may have waited for its turn: what was called off, or told draining or gone since, is not sent.
+            if (attempt.isOver() || request == null || !box.ready()) {
+                box.module.over(attempt, Outcome.MOOT, 0, null);
+                return !connection.isClosed();
+            }
+            long left = Math.max(1, attempt.endsAt - box.clock.now());
+            writer.passOn(request, to.getHostString() + ":" + to.getPort(), left / SECOND);
+            written = true;
+            HttpHead head = reader.answer(left + BEYOND, left + BEYOND);
+            LoadReport report = report(head.get("Srv-Load"));
+            if (head.status() != 200 || !head.chunked()) {
+                reader.body(head, SILENCE);
+                boolean declined = "1".equals(head.get("Srv-Declined"));
+                box.module.over(attempt, declined ? Outcome.FULL : Outcome.ERROR, 0, report);
+                return !head.closes();
+            }
+            EventStream events = new EventStream(reader);
+            byte[] event = events.next(left + BEYOND);
+            if (event == null) {
+                box.module.over(attempt, Outcome.ERROR, 0, report);
+                return !head.closes();
+            }
+            if (!attempt.bind()) {
+                box.module.over(attempt, Outcome.CANCELLED, 0, report);
+                return false;
+            }
+            bound = true;
+            return pass(attempt, event, events, report) && !head.closes();
+        } catch (IOException | RuntimeException e) {
+            broke(attempt, e, written, bound);
+            return false;
+        }
+    }
+
+    /** The client gets this stream: passes each event on as it comes, up to the end. */
+    private boolean pass(Attempt attempt, byte[] first, EventStream events, LoadReport report) throws IOException {
+        Client client = attempt.request.client;
+        boolean there = client.event(first);
+        box.module.began(attempt);
+        double kept = 0;
+        LoadReport last = report;
+        for (byte[] event = events.next(SILENCE); there && event != null; event = events.next(SILENCE)) {
+            kept = Math.max(kept, EventStream.keptTokens(event));
+            LoadReport said = event[0] == ':' ? comment(event) : null;
+            last = said != null ? said : last;
+            there = client.event(event);
+        }
+        if (!there) {
+            box.module.left(attempt.request);
+            return false;
+        }
+        client.ended();
+        box.module.over(attempt, Outcome.OK, kept, last);
+        return true;
+    }
+
+    private void broke(Attempt attempt, Exception e, boolean written, boolean bound) {
+        if (attempt.isOver()) {
+            return; // called off: the closed connection is how this thread hears of it
+        }
+        if (!(e instanceof IOException)) {
+            Logger.error(e, "an attempt ended by a fault");
+        }
+        if (bound) {
+            attempt.request.client.broken();
+        }
+        box.module.over(attempt, written ? Outcome.RESET : Outcome.CONNECT_FAILED, 0, null);
+    }
+
+    // ---- Probes and reports -----------------------------------------------------------------------
+
+    private boolean probe(long askedAt) {
+        Outcome outcome;
+        LoadReport report = null;
+        boolean keep = false;
+        boolean written = false;
+        try {
+            connect();
+            writer.get("/status/load", to.getHostString() + ":" + to.getPort());
+            written = true;
+            HttpHead head = reader.answer(PROBE_WAIT, PROBE_WAIT);
+            String body = new String(reader.body(head, PROBE_WAIT), StandardCharsets.UTF_8);
+            outcome = head.status() == 200 ? Outcome.OK : Outcome.ERROR;
+            report = report(body);
+            keep = !head.closes();
+        } catch (SocketTimeoutException e) {
+            outcome = written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED;
+        } catch (IOException e) {
+            outcome = written ? Outcome.RESET : Outcome.CONNECT_FAILED;
+        }
+        box.module.probed(box.id, outcome, box.clock.now() - askedAt, report);
+        return keep;
+    }
+
+    private LoadReport comment(byte[] event) {
+        String text = new String(event, StandardCharsets.UTF_8).substring(1).strip();
+        return text.startsWith("Srv-Load:") ? report(text.substring("Srv-Load:".length())) : null;
+    }
+
+    private LoadReport report(String json) {
+        if (json == null || json.isBlank()) {
+            return null;
+        }
+        try {
+            Map<String, Object> fields = Json.object(Json.parse(json));
+            return box.layout.read(name -> Json.number(fields.get(name), Double.NaN));
+        } catch (Json.Malformed e) {
+            Logger.debug("a load report that cannot be read: {}", json);
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/streamproxy/routing/ModelBox.java
@@ -0,0 +1,147 @@
+package streamproxy.routing;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Iterator;
+import org.tinylog.Logger;
+import streamproxy.protocol.BoxEntry;
+import streamproxy.routing.Routing.Outcome;
+import streamproxy.transport.Connection;
+import streamproxy.transport.DescriptorBudget;
+
+/**
+ * The actor of one model box: owns the pool of its connections and hands attempts and probes to them. It never
+ * waits for the box; the connections' own threads do.
+ */
+final class ModelBox extends Actor<ModelBox.Message> {
+    /** What the module's actor and the connections tell. */
+    sealed interface Message { }
+
+    private record Send(Attempt attempt) implements Message { }
+
+    private record Probe(long at) implements Message { }
+
+    private record Idle(BoxConnection connection) implements Message { }
+
+    private record Retire() implements Message { }
+
+    private static final int MAILBOX = 4096;
+    /** How often the idle connections are looked at. */
+    private static final long SWEEP = 200_000_000L;
+    /** Share of the box's own time for idle connections after which ours are closed: never write to a closing one. */
+    private static final double KEEP = 0.7;
+    /** Descriptors kept free for clients, so that the boxes' connections cannot shut them out. */
+    private static final int SPARE = 64;
+
+    final long id;
+    final SettingsText.Deployment deployment;
+    final ReportLayout layout;
+    final Clock clock;
+    final ModuleActor module;
+    private final DescriptorBudget budget;
+    private volatile InetSocketAddress endpoint;
+    private volatile boolean ready;
+    private final ArrayDeque<BoxConnection> idle = new ArrayDeque<>(); // the last used first
+    private long sweepAt;
+    private boolean retired;
+
+    ModelBox(long id, BoxEntry entry, SettingsText.Deployment deployment, ReportLayout layout,
+            DescriptorBudget budget, Clock clock, ModuleActor module) {
+        super("box " + entry.uid(), MAILBOX);
+        this.id = id;
+        this.deployment = deployment;
+        this.layout = layout;
+        this.budget = budget;
+        this.clock = clock;
+        this.module = module;
+        this.endpoint = entry.endpoint();
+    }
+
+    /** What the box list says of it now; seen at once by attempts that are still to be written. */
+    void told(BoxEntry entry, boolean nowReady) {
+        endpoint = entry.endpoint();
+        ready = nowReady;
+    }
+
+    void retire() {
+        ready = false;
+        put(new Retire());
+    }
+
+    boolean ready() { return ready; }
+
+    InetSocketAddress endpoint() { return endpoint; }
+
+    boolean send(Attempt attempt) { return offer(new Send(attempt)); }
+
+    boolean probe() { return offer(new Probe(clock.now())); }
+
+    void idle(BoxConnection connection) { put(new Idle(connection)); }
+
+    @Override void take(Message message) {
+        if (message instanceof Send m) {
+            if (!m.attempt.isOver() && !give(new BoxConnection.Errand(m.attempt, 0))) {
+                module.over(m.attempt, Outcome.CONNECT_FAILED, 0, null);
+            }
+        } else if (message instanceof Probe m) {
+            if (!give(new BoxConnection.Errand(null, m.at))) {
+                module.probed(id, Outcome.CONNECT_FAILED, clock.now() - m.at, null);
+            }
+        } else if (message instanceof Idle m) {
+            if (retired) {
+                m.connection.dismiss();
+            } else {
+                idle.push(m.connection);
+            }
+        } else if (message instanceof Retire) {
+            retired = true;
+            idle.forEach(BoxConnection::dismiss);
+            idle.clear();
+            stop();
+        }
+    }
+
+    private boolean give(BoxConnection.Errand errand) {
+        while (!idle.isEmpty()) {
+            BoxConnection connection = idle.pop();
+            if (usable(connection)) {
+                connection.give(errand);
+                return true;
+            }
+            connection.dismiss();
+        }
+        if (!budget.tryTake(SPARE)) {
+            return false;
+        }
+        try {
+            BoxConnection connection = new BoxConnection(this, Connection.open(budget), endpoint);
+            connection.give(errand);
+            connection.start();
+            return true;
+        } catch (IOException | OutOfMemoryError e) {
+            Logger.warn(e, "no connection to a box can be opened");
+            return false;
+        }
+    }
+
+    private boolean usable(BoxConnection connection) {
+        return connection.to().equals(endpoint) && clock.now() - connection.idleSince() < KEEP * deployment.keepaliveNs()
+                && connection.quiet();
+    }
+
+    @Override void onTime() {
+        if (clock.now() >= sweepAt) {
+            sweepAt = clock.now() + SWEEP;
+            for (Iterator<BoxConnection> i = idle.iterator(); i.hasNext();) {
+                BoxConnection connection = i.next();
+                if (!usable(connection)) {
+                    i.remove();
+                    connection.dismiss();
+                }
+            }
+        }
+    }
+
+    @Override long restNs() { return idle.isEmpty() ? NEVER : sweepAt - clock.now(); }
+}
--- /dev/null
+++ b/src/main/java/streamproxy/routing/ModelBoxes.java
@@ -0,0 +1,53 @@
+package streamproxy.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+import streamproxy.protocol.BoxEntry;
+import streamproxy.transport.DescriptorBudget;
+
+/** The actors of the model boxes that the box list names, over HTTP. */
+public final class ModelBoxes implements Boxes {
+    private final Map<Long, ModelBox> byId = new HashMap<>(); // the module's actor alone touches it
+    private final SettingsText.Deployment deployment;
+    private final ReportLayout layout;
+    private final DescriptorBudget budget;
+    private final Clock clock;
+    private ModuleActor module;
+
+    public ModelBoxes(SettingsText settings, DescriptorBudget budget, Clock clock) {
+        this.deployment = settings.deployment();
+        this.layout = settings.reportLayout();
+        this.budget = budget;
+        this.clock = clock;
+    }
+
+    /** Whom the boxes report to: once, before it starts. */
+    public void reportTo(ModuleActor actor) { module = actor; }
+
+    @Override public void told(long id, BoxEntry entry, boolean ready) {
+        ModelBox box = byId.get(id);
+        if (box == null) {
+            box = new ModelBox(id, entry, deployment, layout, budget, clock, module);
+            byId.put(id, box);
+            box.start();
+        }
+        box.told(entry, ready);
+    }
+
+    @Override public void gone(long id) {
+        ModelBox box = byId.remove(id);
+        if (box != null) {
+            box.retire();
+        }
+    }
+
+    @Override public boolean send(Attempt attempt) {
+        ModelBox box = byId.get(attempt.boxId);
+        return box != null && box.send(attempt);
+    }
+
+    @Override public boolean probe(long id) {
+        ModelBox box = byId.get(id);
+        return box != null && box.probe();
+    }
+}
--- /dev/null
+++ b/src/main/java/streamproxy/routing/ModuleActor.java
@@ -0,0 +1,312 @@
+package streamproxy.routing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.tinylog.Logger;
+import streamproxy.protocol.BoxEntry;
+import streamproxy.routing.Routing.Health;
+import streamproxy.routing.Routing.ListForm;
+import streamproxy.routing.Routing.LoadReport;
+import streamproxy.routing.Routing.Outcome;
+
+/**
+ * The module's actor, sole caller of {@link Policy}. It keeps the clock, the timers and the table of requests,
+ * turns what the peers report into the module's events and carries the module's actions out. It knows no
+ * protocol: a second one brings its own {@link Client} and {@link Boxes} and keeps the same rules.
+ */
+public final class ModuleActor extends Actor<ModuleActor.Message> implements Routing.Actions {
+    /** What the peers tell. */
+    sealed interface Message { }
+
+    private record Taken(Request request) implements Message { }
+
+    private record Left(Request request) implements Message { }
+
+    private record Began(Attempt attempt) implements Message { }
+
+    private record AttemptOver(Attempt attempt, Outcome outcome, double keptTokens, LoadReport report)
+            implements Message { }
+
+    private record ProbeOver(long box, Outcome outcome, long afterNs, LoadReport report) implements Message { }
+
+    private record ListNews(ListForm form, List<BoxEntry> boxes) implements Message { }
+
+    /** A time to act at: the module's timer, an attempt's time-out, or a request's deadline. */
+    private record Due(long at, long order, int token, Attempt attempt, Request request) { }
+
+    private static final int MAILBOX = 8192;
+
+    private final Clock clock;
+    private final SettingsText.Deployment deployment;
+    private final Routing.Settings settings;
+    private final Boxes boxes;
+    private final Policy policy;
+    private final Map<Long, Request> requests = new HashMap<>();
+    private final Set<Long> known = new HashSet<>();
+    private final PriorityQueue<Due> dues =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    /** Events that an action brings about at once; the module gets them after the event it is at. */
+    private final ArrayDeque<Message> own = new ArrayDeque<>();
+    private Runnable watch = () -> { };
+    private Runnable fetch = () -> { };
+    private long now;
+    private long order;
+    private long numbers;
+    private volatile int open;
+
+    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes) {
+        super("module", MAILBOX);
+        this.clock = clock;
+        this.boxes = boxes;
+        deployment = text.deployment();
+        settings = text.settings();
+        now = clock.now();
+        policy = new Policy(settings, seed, now, this);
+    }
+
+    /** Whom to ask for the box list: once before {@link #start}. */
+    void listFrom(Runnable watching, Runnable fetching) {
+        watch = watching;
+        fetch = fetching;
+    }
+
+    // ---- What the peers tell ----------------------------------------------------------------------
+
+    /** A client's request has come in; false where the router has no room for it. */
+    public boolean taken(Request request) { return offer(new Taken(request)); }
+
+    /** The client has left before its answer was whole. */
+    public void left(Request request) { put(new Left(request)); }
+
+    void began(Attempt attempt) { put(new Began(attempt)); }
+
+    void over(Attempt attempt, Outcome outcome, double keptTokens, LoadReport report) {
+        if (attempt.end()) {
+            put(new AttemptOver(attempt, outcome, keptTokens, report));
+        }
+    }
+
+    void probed(long box, Outcome outcome, long afterNs, LoadReport report) {
+        put(new ProbeOver(box, outcome, afterNs, report));
+    }
+
+    void listNews(ListForm form, List<BoxEntry> entries) { put(new ListNews(form, entries)); }
+
+    /** Requests without their final answer. */
+    public int open() { return open; }
+
+    // ---- The actor --------------------------------------------------------------------------------
+
+    @Override void take(Message message) {
+        now = Math.max(now, clock.now());
+        handle(message);
+    }
+
+    @Override long restNs() { return dues.isEmpty() ? NEVER : dues.peek().at - clock.now(); }
+
+    @Override void onTime() {
+        now = Math.max(now, clock.now());
+        settleOwn();
+        while (!dues.isEmpty() && dues.peek().at <= now) {
+            Due due = dues.poll();
+            if (due.attempt != null) {
+                timeOut(due.attempt);
+            } else if (due.request != null) {
+                deadline(due.request);
+            } else {
+                policy.on(now, new Routing.TimerDue(due.token));
+            }
+            settleOwn();
+        }
+    }
+
+    private void settleOwn() {
+        for (Message m = own.poll(); m != null; m = own.poll()) {
+            handle(m);
+        }
+    }
+
+    private void handle(Message message) {
+        if (message instanceof Taken m) {
+            arrive(m.request);
+        } else if (message instanceof Began m) {
+            policy.on(now, new Routing.FirstByte(m.attempt.request.number, m.attempt.number, m.attempt.boxId,
+                    now - m.attempt.sentAt));
+        } else if (message instanceof AttemptOver m) {
+            attemptOver(m);
+        } else if (message instanceof ProbeOver m) {
+            policy.on(now, new Routing.Probed(m.box, m.outcome, m.afterNs, m.report));
+        } else if (message instanceof ListNews m) {
+            listChange(m);
+        } else if (message instanceof Left m) {
+            clientLeft(m.request);
+        }
+    }
+
+    private void arrive(Request request) {
+        request.number = ++numbers;
+        requests.put(request.number, request);
+        open++;
+        // The module answers before that; should it fail to, the client still gets its one answer in time.
+        dues.add(new Due(request.deadlineAt, ++order, 0, null, request));
+        policy.on(now, new Routing.Arrival(request.number, request.clazz, request.tenant, request.prompt.key(),
+                request.prompt.prefix(), request.prompt.promptTokens(), request.prompt.prefixTokens(),
+                request.prompt.mostTokens(), request.deadlineAt - now, -1, request.prompt.clientRetry()));
+    }
+
+    private void attemptOver(AttemptOver m) {
+        Request request = m.attempt.request;
+        if (request.bound() == m.attempt) {
+            close(request);
+        }
+        request.ended++;
+        policy.on(now, new Routing.Ended(request.number, m.attempt.number, m.attempt.boxId, m.outcome, request.over,
+                now - m.attempt.sentAt, m.keptTokens, m.report));
+        forget(request);
+    }
+
+    private void clientLeft(Request request) {
+        if (request.over) {
+            return;
+        }
+        request.answer();
+        Attempt bound = request.bound();
+        close(request);
+        policy.on(now, new Routing.Dropped(request.number));
+        if (bound != null && bound.abandon()) {
+            own.add(new AttemptOver(bound, Outcome.CANCELLED, 0, null));
+        }
+        forget(request);
+    }
+
+    private void timeOut(Attempt attempt) {
+        if (attempt.callOff()) {
+            own.add(new AttemptOver(attempt, Outcome.TIMEOUT, 0, null));
+        }
+    }
+
+    private void deadline(Request request) {
+        if (!request.over && request.answer()) {
+            Logger.warn("request {} had no answer from the module at its deadline", request.prompt.id());
+            request.client.failed();
+            close(request);
+            policy.on(now, new Routing.Dropped(request.number));
+            forget(request);
+        }
+    }
+
+    /** Its final answer is given, or nobody waits for one. */
+    private void close(Request request) {
+        if (!request.over) {
+            request.over = true;
+            request.dropBody();
+            open--;
+        }
+    }
+
+    private void forget(Request request) {
+        if (request.over && request.ended == request.attempts.size()) {
+            requests.remove(request.number);
+        }
+    }
+
+    private void listChange(ListNews news) {
+        List<Routing.Endpoint> entries = new ArrayList<>();
+        Set<Long> named = new HashSet<>();
+        for (BoxEntry box : news.boxes) {
+            Health health = switch (box.state()) {
+                case "ready" -> Health.READY;
+                case "gone" -> Health.GONE;
+                default -> Health.DRAINING; // a state unknown here gets nothing new either
+            };
+            long id = box.id();
+            if (health == Health.GONE || box.endpoint() == null) {
+                health = Health.GONE;
+                known.remove(id);
+                boxes.gone(id);
+            } else {
+                named.add(id);
+                known.add(id);
+                boxes.told(id, box, health == Health.READY);
+            }
+            entries.add(new Routing.Endpoint(id, box.weight(), index(deployment.centres(), box.centre()), box.cell(),
+                    clock.at(box.bootMs()), index(deployment.kinds(), box.kind()), health));
+        }
+        if (news.form == ListForm.FULL || news.form == ListForm.CACHED) {
+            for (long id : List.copyOf(known)) {
+                if (!named.contains(id)) {
+                    known.remove(id);
+                    boxes.gone(id); // what a full list does not name is gone
+                }
+            }
+        }
+        policy.on(now, new Routing.ListChange(news.form, entries));
+    }
+
+    private static int index(List<String> names, String name) { return Math.max(0, names.indexOf(name)); }
+
+    // ---- What the module asks for -----------------------------------------------------------------
+
+    @Override public void send(long request, long replica, long timeoutNs) {
+        Request r = requests.get(request);
+        if (r == null) {
+            Logger.warn("the module sends request {}, which is not open", request);
+            return;
+        }
+        Attempt attempt = new Attempt(r, r.attempts.size(), replica, now,
+                Math.min(now + Math.max(0, timeoutNs), r.deadlineAt));
+        r.attempts.add(attempt);
+        boolean moot = r.answered() || attempt.number >= settings.limits().maxAttempts() || !known.contains(replica);
+        if (moot || !boxes.send(attempt)) {
+            attempt.end();
+            own.add(new AttemptOver(attempt, moot ? Outcome.MOOT : Outcome.CONNECT_FAILED, 0, null));
+            return;
+        }
+        dues.add(new Due(attempt.endsAt, ++order, 0, attempt, null));
+    }
+
+    @Override public void cancel(long request, int attempt) {
+        Request r = requests.get(request);
+        if (r != null && attempt < r.attempts.size() && r.attempts.get(attempt).callOff()) {
+            own.add(new AttemptOver(r.attempts.get(attempt), Outcome.CANCELLED, 0, null));
+        }
+    }
+
+    @Override public void refuse(long request, long retryAfterNs) {
+        Request r = requests.get(request);
+        if (r != null && r.answer()) { // else its stream has begun meanwhile, and is the answer
+            r.client.refused(retryAfterNs);
+            close(r);
+            forget(r);
+        }
+    }
+
+    @Override public void fail(long request) {
+        Request r = requests.get(request);
+        if (r != null && r.answer()) {
+            r.client.failed();
+            close(r);
+            forget(r);
+        }
+    }
+
+    @Override public void timer(long afterNs, int token) { dues.add(new Due(now + afterNs, ++order, token, null, null)); }
+
+    @Override public void probe(long replica) {
+        if (!known.contains(replica) || !boxes.probe(replica)) {
+            own.add(new ProbeOver(replica, Outcome.CONNECT_FAILED, 0, null));
+        }
+    }
+
+    @Override public void watchList() { watch.run(); }
+
+    @Override public void fetchList() { fetch.run(); }
+
+    @Override public void log(String line) { Logger.info(line); }
+}
--- a/src/main/java/streamproxy/Policy.java
+++ b/src/main/java/streamproxy/routing/Policy.java
@@ -1,7 +1,7 @@
-package streamproxy;
+package streamproxy.routing;
 
 import java.util.*;
-import streamproxy.Routing.*;
+import streamproxy.routing.Routing.*;
 
 /**
  * Every routing decision of one gateway. The interface (settings, events, actions) is Routing.java.
--- a/src/main/java/streamproxy/benchlink/ReportLayout.java
+++ b/src/main/java/streamproxy/routing/ReportLayout.java
@@ -1,20 +1,23 @@
-package streamproxy.benchlink;
+package streamproxy.routing;
 
 import java.nio.ByteBuffer;
-import streamproxy.Routing;
+import java.util.Arrays;
+import java.util.function.ToDoubleFunction;
 
 /** Turns the wire's numbered report values into named measures. */
-final class ReportLayout {
+public final class ReportLayout {
     private static final int SLOTS = 4;
     private static final int MEASURES = 7;
 
+    private final String[] names = new String[SLOTS];
     private final int[] measure = new int[SLOTS];
     private final double[] scale = new double[SLOTS];
 
-    ReportLayout(String[] fields, String x0, String x1) {
+    public ReportLayout(String[] fields, String x0, String x1) {
         for (int i = 0; i < SLOTS; i++) {
             String name = i < fields.length ? fields[i] : "";
             String words = name.equals("x0") ? x0 : name.equals("x1") ? x1 : "";
+            names[i] = name;
             measure[i] = words.isEmpty() ? named(name) : described(words);
             scale[i] = words.startsWith("thousands_") ? 1000 : 1;
         }
@@ -36,16 +39,30 @@
     }
 
     /** Reads a u8 count and four f32 at the position; null where no report came along. */
-    Routing.LoadReport read(ByteBuffer in, int at) {
+    public Routing.LoadReport read(ByteBuffer in, int at) {
         int n = Math.min(in.get(at) & 0xff, SLOTS);
-        if (n == 0) {
+        double[] values = new double[n];
+        for (int i = 0; i < n; i++) {
+            values[i] = in.getFloat(at + 1 + 4 * i);
+        }
+        return read(values);
+    }
+
+    /** Reads the values by the names of their fields, NaN for an absent one; null where all are absent. */
+    public Routing.LoadReport read(ToDoubleFunction<String> field) {
+        double[] values = Arrays.stream(names).mapToDouble(field).toArray();
+        return Arrays.stream(values).allMatch(Double::isNaN) ? null : read(values);
+    }
+
+    private Routing.LoadReport read(double[] values) {
+        if (values.length == 0) {
             return null;
         }
         double[] v = new double[MEASURES];
-        java.util.Arrays.fill(v, Double.NaN);
-        for (int i = 0; i < n; i++) {
+        Arrays.fill(v, Double.NaN);
+        for (int i = 0; i < values.length; i++) {
             if (measure[i] >= 0) {
-                v[measure[i]] = in.getFloat(at + 1 + 4 * i) * scale[i];
+                v[measure[i]] = values[i] * scale[i];
             }
         }
         return new Routing.LoadReport(v[0], v[1], v[2], v[3], v[4], v[5], v[6]);
--- /dev/null
+++ b/src/main/java/streamproxy/routing/Request.java
@@ -0,0 +1,58 @@
+package streamproxy.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import streamproxy.protocol.PassedOn;
+import streamproxy.protocol.PromptHeaders;
+
+/** A client's request that this router has taken and owes one final answer. */
+public final class Request {
+    private static final int FREE = -1;
+    private static final int ANSWERED = -2;
+
+    final PromptHeaders prompt;
+    final int clazz;
+    final int tenant;
+    final Client client;
+    final long takenAt;
+    final long deadlineAt;
+    private volatile PassedOn passedOn;
+    /** Who answers: an attempt's number, or the router itself. Set once: that keeps it to one answer. */
+    private final AtomicInteger answerer = new AtomicInteger(FREE);
+
+    // The module's actor alone touches these.
+    long number;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    boolean over;
+    int ended; // attempts whose outcome the module has
+
+    public Request(PromptHeaders prompt, int clazz, int tenant, PassedOn passedOn, Client client, long takenAt) {
+        this.prompt = prompt;
+        this.clazz = clazz;
+        this.tenant = tenant;
+        this.passedOn = passedOn;
+        this.client = client;
+        this.takenAt = takenAt;
+        this.deadlineAt = takenAt + prompt.deadlineNs();
+    }
+
+    PassedOn passedOn() { return passedOn; }
+
+    /** Nothing is sent for it any more: its body need not be kept. */
+    void dropBody() { passedOn = null; }
+
+    /** The attempt's stream becomes the answer, unless there is one already. */
+    boolean bind(int attempt) { return answerer.compareAndSet(FREE, attempt); }
+
+    /** The router itself answers, unless there is an answer already. */
+    boolean answer() { return answerer.compareAndSet(FREE, ANSWERED); }
+
+    boolean answered() { return answerer.get() != FREE; }
+
+    /** The attempt whose stream the client gets; null where there is none. */
+    Attempt bound() {
+        int who = answerer.get();
+        return who >= 0 ? attempts.get(who) : null;
+    }
+}
--- a/src/main/java/streamproxy/Routing.java
+++ b/src/main/java/streamproxy/routing/Routing.java
@@ -1,4 +1,4 @@
-package streamproxy;
+package streamproxy.routing;
 
 import java.util.List;
 import java.util.Objects;
--- a/src/main/java/streamproxy/benchlink/SettingsText.java
+++ b/src/main/java/streamproxy/routing/SettingsText.java
@@ -1,16 +1,15 @@
-package streamproxy.benchlink;
+package streamproxy.routing;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import streamproxy.Routing;
 
 /** Reads the path=value settings of an instance. Unknown paths are passed over. */
-final class SettingsText {
+public final class SettingsText {
     /** A setting that a rule needs is missing or unreadable; the message names it. */
-    static final class Missing extends RuntimeException {
+    public static final class Missing extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
         Missing(String path) { super("setting missing or unreadable: " + path); }
@@ -18,7 +17,7 @@
 
     private final Map<String, String> values = new HashMap<>();
 
-    SettingsText(String text) {
+    public SettingsText(String text) {
         for (String line : text.split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) {
@@ -28,7 +27,7 @@
     }
 
     /** The settings in the module's own terms. */
-    Routing.Settings settings() {
+    public Routing.Settings settings() {
         List<Routing.RequestClass> classes = new ArrayList<>();
         int count = (int) need("Classes.count");
         String[] perThousand = list("Domain.AimUsPer1000PromptTokens");
@@ -69,8 +68,21 @@
                 get("OverShareWorth", 1), reports, onRequest, rules, limits, prices);
     }
 
+    /** What a router needs to know of its deployment beside what the module is told. */
+    public record Deployment(List<String> centres, List<String> kinds, List<String> tenants, long connectTimeoutNs,
+            long keepaliveNs) { }
+
+    public Deployment deployment() {
+        List<String> tenants = new ArrayList<>();
+        for (int i = 0; i < (int) get("Tenants.count", 0); i++) {
+            tenants.add(values.getOrDefault("Tenants." + i + ".Name", "tenant-" + i));
+        }
+        return new Deployment(List.of(list("Areas")), List.of(list("Flavors")), tenants,
+                (long) need("Limits.ConnectTimeout"), (long) need("Limits.Keepalive"));
+    }
+
     /** What each value of a load report is and its scale, in the order of the reports. */
-    ReportLayout reportLayout() {
+    public ReportLayout reportLayout() {
         String[] names = list("Report.Fields");
         return new ReportLayout(names, values.getOrDefault("Domain.ReportX0", ""),
                 values.getOrDefault("Domain.ReportX1", ""));
--- /dev/null
+++ b/src/main/java/streamproxy/transport/Connection.java
@@ -0,0 +1,128 @@
+package streamproxy.transport;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * One TCP connection with blocking reads and writes. One thread at a time uses it; any thread may close it,
+ * which ends the user's call with an exception.
+ */
+public final class Connection implements AutoCloseable {
+    /** What a look at a connection that nobody reads has found. */
+    public enum Look { QUIET, DATA, CLOSED }
+
+    private static final int BUFFER = 8 * 1024;
+
+    private final SocketChannel channel;
+    private final DescriptorBudget budget;
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private final byte[] buffer = new byte[BUFFER];
+    private int next;
+    private int end;
+
+    /** Wraps an open channel whose place in the budget is already taken. */
+    Connection(SocketChannel channel, DescriptorBudget budget) throws IOException {
+        this.channel = channel;
+        this.budget = budget;
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    }
+
+    /** An unconnected one; the caller has taken its place in the budget, {@link #close} gives it back. */
+    public static Connection open(DescriptorBudget budget) throws IOException {
+        SocketChannel channel = null;
+        try {
+            channel = SocketChannel.open();
+            return new Connection(channel, budget);
+        } catch (IOException e) {
+            if (channel != null) {
+                channel.close();
+            }
+            budget.giveBack();
+            throw e;
+        }
+    }
+
+    public void connect(InetSocketAddress to, long timeoutNs) throws IOException {
+        channel.socket().connect(to, (int) Math.max(1, timeoutNs / 1_000_000));
+    }
+
+    /** Reads one byte, waiting at most so long (0: for ever); -1 at the end. */
+    public int read(long timeoutNs) throws IOException {
+        return next < end || fill(timeoutNs) ? buffer[next++] & 0xff : -1;
+    }
+
+    /** Reads up to so many bytes of what is there, waiting for the first; -1 at the end. */
+    public int read(byte[] to, int at, int most, long timeoutNs) throws IOException {
+        if (next == end && !fill(timeoutNs)) {
+            return -1;
+        }
+        int n = Math.min(most, end - next);
+        System.arraycopy(buffer, next, to, at, n);
+        next += n;
+        return n;
+    }
+
+    public void readFully(byte[] to, long timeoutNs) throws IOException {
+        for (int at = 0; at < to.length;) {
+            int n = read(to, at, to.length - at, timeoutNs);
+            if (n < 0) {
+                throw new EOFException("the peer closed within a body");
+            }
+            at += n;
+        }
+    }
+
+    /** True where more can be read without waiting for the network. */
+    public boolean buffered() { return next < end; }
+
+    private boolean fill(long timeoutNs) throws IOException {
+        channel.socket().setSoTimeout((int) Math.min(Integer.MAX_VALUE, (timeoutNs + 999_999) / 1_000_000));
+        int n = channel.socket().getInputStream().read(buffer, 0, BUFFER);
+        next = 0;
+        end = Math.max(0, n);
+        return n > 0;
+    }
+
+    /** Looks, without waiting, whether the peer has closed or sent something; no one else may be reading. */
+    public Look look() {
+        if (next < end) {
+            return Look.DATA;
+        }
+        try {
+            channel.configureBlocking(false);
+            int n = channel.read(ByteBuffer.wrap(buffer));
+            channel.configureBlocking(true);
+            next = 0;
+            end = Math.max(0, n);
+            return n < 0 ? Look.CLOSED : n == 0 ? Look.QUIET : Look.DATA;
+        } catch (IOException e) {
+            return Look.CLOSED;
+        }
+    }
+
+    public void write(byte[] bytes, int at, int length) throws IOException {
+        OutputStream out = channel.socket().getOutputStream();
+        out.write(bytes, at, length);
+    }
+
+    public void write(byte[] bytes) throws IOException { write(bytes, 0, bytes.length); }
+
+    public boolean isClosed() { return closed.get(); }
+
+    @Override public void close() {
+        if (closed.compareAndSet(false, true)) {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                // nothing is left to be done for it
+            }
+            budget.giveBack();
+        }
+    }
+}
--- a/src/test/java/streamproxy/ExampleTest.java
+++ b/src/test/java/streamproxy/routing/ExampleTest.java
@@ -1,4 +1,4 @@
-package streamproxy;
+package streamproxy.routing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/streamproxy/GeneralityTest.java
+++ b/src/test/java/streamproxy/routing/GeneralityTest.java
@@ -1,18 +1,18 @@
-package streamproxy;
+package streamproxy.routing;
 
-import static streamproxy.Rig.MS;
-import static streamproxy.Rig.S;
-import static streamproxy.Rig.ready;
-import static streamproxy.Rig.safe;
-import static streamproxy.Rig.settings;
+import static streamproxy.routing.Rig.MS;
+import static streamproxy.routing.Rig.S;
+import static streamproxy.routing.Rig.ready;
+import static streamproxy.routing.Rig.safe;
+import static streamproxy.routing.Rig.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTimeout;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
-import streamproxy.Routing.Health;
-import streamproxy.Routing.ListForm;
-import streamproxy.Routing.Reports;
+import streamproxy.routing.Routing.Health;
+import streamproxy.routing.Routing.ListForm;
+import streamproxy.routing.Routing.Reports;
 import org.junit.jupiter.api.Test;
 
 /** Settings unlike the deployments that the module was scored on. */
--- a/src/test/java/streamproxy/PolicyTest.java
+++ b/src/test/java/streamproxy/routing/PolicyTest.java
@@ -1,12 +1,12 @@
-package streamproxy;
-
-import static streamproxy.Rig.MS;
-import static streamproxy.Rig.S;
-import static streamproxy.Rig.at;
-import static streamproxy.Rig.clazz;
-import static streamproxy.Rig.ready;
-import static streamproxy.Rig.safe;
-import static streamproxy.Rig.settings;
+package streamproxy.routing;
+
+import static streamproxy.routing.Rig.MS;
+import static streamproxy.routing.Rig.S;
+import static streamproxy.routing.Rig.at;
+import static streamproxy.routing.Rig.clazz;
+import static streamproxy.routing.Rig.ready;
+import static streamproxy.routing.Rig.safe;
+import static streamproxy.routing.Rig.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -16,12 +16,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import streamproxy.Routing.Effect;
-import streamproxy.Routing.Group;
-import streamproxy.Routing.Health;
-import streamproxy.Routing.ListForm;
-import streamproxy.Routing.Outcome;
-import streamproxy.Routing.Reports;
+import streamproxy.routing.Routing.Effect;
+import streamproxy.routing.Routing.Group;
+import streamproxy.routing.Routing.Health;
+import streamproxy.routing.Routing.ListForm;
+import streamproxy.routing.Routing.Outcome;
+import streamproxy.routing.Routing.Reports;
 import org.junit.jupiter.api.Test;
 
 class PolicyTest {
--- a/src/test/java/streamproxy/Rig.java
+++ b/src/test/java/streamproxy/routing/Rig.java
@@ -1,4 +1,4 @@
-package streamproxy;
+package streamproxy.routing;
 
 import java.util.ArrayList;
 import java.util.Arrays;
