Bound the time and memory that clients and boxes can take from the router

Read through for what could hold a thread, a descriptor or memory for ever: a head or body sent a byte at a time, a client that does not read, large bodies in number, a thread that cannot be started, an exception of the module on an arrival. Each has a limit now; want of own descriptors is no longer counted against a box (moot, not connect failed). A turned-away client can read its answer before the connection closes.

--- a/src/main/java/streamproxy/program/Router.java
+++ b/src/main/java/streamproxy/program/Router.java
@@ -15,7 +15,7 @@
 import streamproxy.routing.Routing;
 import streamproxy.routing.SettingsText;
 import streamproxy.transport.Connection;
-import streamproxy.transport.DescriptorBudget;
+import streamproxy.transport.Budget;
 import streamproxy.transport.Listener;
 import streamproxy.transport.Threads;
 
@@ -26,6 +26,12 @@
     /** After SIGTERM new connections still come for a while; what is closed then has lost nothing. */
     private static final long GRACE_MS = 700;
     private static final long LOOK_MS = 10;
+    /** How often clients that do not read are looked for. */
+    private static final long ROUND_MS = 1000;
+    /** Share of the descriptors that clients may hold; the rest is for the model boxes that serve them. */
+    private static final double CLIENTS_SHARE = 0.55;
+    /** Share of the heap that the bodies of requests in work may hold. */
+    private static final double BODIES_SHARE = 0.35;
 
     private final Lifecycle lifecycle = new Lifecycle();
     private final Set<ClientConnection> clients = ConcurrentHashMap.newKeySet();
@@ -40,13 +46,17 @@
         SettingsText text = new SettingsText(config.settings());
         Routing.Settings settings = text.settings();
         known = BoxEntry.news(config.known());
-        DescriptorBudget budget = new DescriptorBudget(config.sockets() - OWN_DESCRIPTORS);
+        int places = config.sockets() - OWN_DESCRIPTORS;
+        Budget budget = new Budget(places);
+        Budget bodyBytes = new Budget((int) Math.min(Integer.MAX_VALUE,
+                BODIES_SHARE * Runtime.getRuntime().maxMemory()));
         ModelBoxes boxes = new ModelBoxes(text, budget, clock);
         module = new ModuleActor(text, config.seed(), clock, boxes);
         boxes.reportTo(module);
         list = new BoxList(config.discovery(), budget, module);
         desk = new ClientConnection.Desk(module, clock, settings.classes().stream().map(c -> c.name()).toList(),
-                text.deployment().tenants(), lifecycle::ready, lifecycle::leaving);
+                text.deployment().tenants(), bodyBytes, () -> lifecycle.ready() && module.knowsBoxes(),
+                lifecycle::leaving, () -> clients.size() > CLIENTS_SHARE * places);
         listener = new Listener(config.listen(), budget, this::take);
     }
 
@@ -54,6 +64,7 @@
         list.startFrom(known);
         module.start();
         listener.start();
+        Threads.start("rounds", this::makeRounds);
         lifecycle.enter(Lifecycle.Phase.SERVING);
     }
 
@@ -64,13 +75,29 @@
     private void take(Connection connection) {
         ClientConnection client = new ClientConnection(connection, desk);
         clients.add(client);
-        Threads.start("client", () -> {
-            try {
-                client.run();
-            } finally {
-                clients.remove(client);
+        try {
+            Threads.start("client", () -> {
+                try {
+                    client.run();
+                } finally {
+                    clients.remove(client);
+                }
+            });
+        } catch (OutOfMemoryError e) { // no thread to be had
+            clients.remove(client);
+            throw e;
+        }
+    }
+
+    private void makeRounds() {
+        try {
+            while (true) {
+                Thread.sleep(ROUND_MS);
+                clients.forEach(ClientConnection::closeIfStalled);
             }
-        });
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Goes on taking requests for the grace, then finishes all that was taken. */
--- a/src/main/java/streamproxy/protocol/HttpHead.java
+++ b/src/main/java/streamproxy/protocol/HttpHead.java
@@ -20,8 +20,6 @@
 
     public String target() { return start[1]; }
 
-    public String version() { return start[2]; }
-
     /** The path without its query. */
     public String path() {
         int query = start[1].indexOf('?');
@@ -52,7 +50,7 @@
     public boolean closes() {
         String connection = get("Connection");
         if (connection == null) {
-            return version().equals("HTTP/1.0") || start[0].equals("HTTP/1.0");
+            return start[0].equals("HTTP/1.0"); // an old box
         }
         for (String option : connection.split(",")) {
             if (option.strip().equalsIgnoreCase("close")) {
--- a/src/main/java/streamproxy/protocol/HttpReader.java
+++ b/src/main/java/streamproxy/protocol/HttpReader.java
@@ -1,8 +1,11 @@
 package streamproxy.protocol;
 
+import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import streamproxy.transport.Connection;
 
 /** Reads HTTP/1.1 messages off a connection. */
@@ -10,57 +13,68 @@
     /** The most bytes of a body, as the protocol has it. */
     public static final int MOST_BODY = 256 * 1024;
     private static final int MOST_HEAD = 16 * 1024;
-    private static final byte[] NOTHING = new byte[0];
 
     private final Connection from;
     private final StringBuilder line = new StringBuilder();
     private int headBytes;
+    private long readBy;
     private long chunkLeft;
     private boolean chunkSeen;
 
     public HttpReader(Connection from) { this.from = from; }
 
     /** Reads a request's head; null where the client closed before one began. */
-    public HttpHead request(long idleNs, long headNs) throws IOException {
-        String first = firstLine(idleNs, headNs);
-        if (first == null) {
+    public HttpHead request(long idleNs, long wholeNs) throws IOException {
+        if (!from.awaitByte(idleNs)) {
             return null;
         }
+        try {
+            return requestHead(wholeNs);
+        } catch (SocketTimeoutException e) {
+            throw new BadMessage(408, "the head takes too long");
+        }
+    }
+
+    private HttpHead requestHead(long wholeNs) throws IOException {
+        String first = firstLine(wholeNs);
         String[] part = first.split(" ", -1);
         if (part.length != 3 || part[0].isEmpty() || !part[1].startsWith("/")) {
             throw new BadMessage(400, "malformed request line");
         }
-        if (!part[2].equals("HTTP/1.1") && !part[2].equals("HTTP/1.0")) {
+        if (!part[2].equals("HTTP/1.1")) {
             throw new BadMessage(part[2].startsWith("HTTP/") ? 505 : 400, "unknown version");
         }
-        return fields(new HttpHead(part[0], part[1], part[2]), headNs);
+        HttpHead head = fields(new HttpHead(part[0], part[1], part[2]));
+        if (head.count("Host") != 1) {
+            throw new BadMessage(400, "one Host is needed");
+        }
+        return head;
     }
 
     /** Reads an answer's head. */
-    public HttpHead answer(long firstNs, long headNs) throws IOException {
-        String first = firstLine(firstNs, headNs);
-        if (first == null) {
+    public HttpHead answer(long waitNs) throws IOException {
+        if (!from.awaitByte(waitNs)) {
             throw new EOFException("closed without an answer");
         }
+        String first = firstLine(waitNs);
         String[] part = first.split(" ", 3);
         if (part.length < 2 || !part[0].startsWith("HTTP/1.") || !part[1].matches("[1-5]\\d\\d")) {
             throw new BadMessage(502, "malformed status line");
         }
-        return fields(new HttpHead(part[0], part[1], part.length > 2 ? part[2] : ""), headNs);
+        return fields(new HttpHead(part[0], part[1], part.length > 2 ? part[2] : ""));
     }
 
-    private String firstLine(long firstNs, long headNs) throws IOException {
+    private String firstLine(long wholeNs) throws IOException {
         headBytes = 0;
-        String first = line(firstNs, headNs);
-        return first != null && first.isEmpty() ? line(headNs, headNs) : first; // RFC 9112: one empty line is passed over
+        // From its first byte on the whole head has so long: one byte now and then must not hold a thread for ever.
+        readBy = System.nanoTime() + wholeNs;
+        String first = line();
+        return first.isEmpty() ? line() : first; // RFC 9112: one empty line is passed over
     }
 
-    private HttpHead fields(HttpHead head, long headNs) throws IOException {
+    private HttpHead fields(HttpHead head) throws IOException {
         while (true) {
-            String text = line(headNs, headNs);
-            if (text == null) {
-                throw new EOFException("closed within a head");
-            }
+            String text = line();
             if (text.isEmpty()) {
                 return head;
             }
@@ -72,16 +86,11 @@
         }
     }
 
-    private String line(long firstNs, long nextNs) throws IOException {
+    private String line() throws IOException {
         line.setLength(0);
-        long wait = firstNs;
         while (true) {
-            int c = from.read(wait);
-            wait = nextNs;
+            int c = from.read(left());
             if (c < 0) {
-                if (line.length() == 0) {
-                    return null;
-                }
                 throw new EOFException("closed within a line");
             }
             if (++headBytes > MOST_HEAD) {
@@ -89,26 +98,35 @@
             }
             if (c == '\n') {
                 int length = line.length();
-                return length > 0 && line.charAt(length - 1) == '\r' ? line.substring(0, length - 1) : line.toString();
+                if (length > 0 && line.charAt(length - 1) == '\r') {
+                    line.setLength(length - 1);
+                }
+                // Passed on, a lone CR or another control might be read as an end of line by a box.
+                if (line.chars().anyMatch(x -> x < ' ' && x != '\t' || x == 127)) {
+                    throw new BadMessage(400, "a control character in a head");
+                }
+                return line.toString();
             }
             line.append((char) c);
         }
     }
 
-    /** Reads a whole body of at most {@link #MOST_BODY} bytes. */
-    public byte[] body(HttpHead head, long timeoutNs) throws IOException {
+    private long left() { return Math.max(1, readBy - System.nanoTime()); }
+
+    /** The size of the body that follows, at most {@link #MOST_BODY}; that for one without a stated length. */
+    public int bodySize(HttpHead head) throws BadMessage {
         String length = head.get("Content-Length");
         if (head.get("Transfer-Encoding") != null) {
             if (length != null) {
                 throw new BadMessage(400, "both lengths");
             }
-            if (!head.chunked()) {
+            if (!head.chunked() || head.count("Transfer-Encoding") > 1) {
                 throw new BadMessage(501, "unknown transfer coding");
             }
-            return chunks(timeoutNs);
+            return MOST_BODY;
         }
         if (length == null) {
-            return NOTHING;
+            return 0;
         }
         if (head.count("Content-Length") > 1 || !length.matches("\\d{1,18}")) {
             throw new BadMessage(400, "bad length");
@@ -116,22 +134,42 @@
         if (Long.parseLong(length) > MOST_BODY) {
             throw new BadMessage(413, "body too large");
         }
-        byte[] body = new byte[Integer.parseInt(length)];
-        from.readFully(body, timeoutNs);
-        return body;
+        return Integer.parseInt(length);
+    }
+
+    /** Reads a whole body of at most {@link #MOST_BODY} bytes within so long. */
+    public byte[] body(HttpHead head, long wholeNs) throws IOException {
+        readBy = System.nanoTime() + wholeNs;
+        int size = bodySize(head);
+        try {
+            if (head.chunked()) {
+                return chunks();
+            }
+            byte[] body = new byte[size];
+            for (int at = 0; at < size;) {
+                int n = from.read(body, at, size - at, left());
+                if (n < 0) {
+                    throw new EOFException("closed within a body");
+                }
+                at += n;
+            }
+            return body;
+        } catch (SocketTimeoutException e) {
+            throw new BadMessage(408, "the body takes too long");
+        }
     }
 
-    private byte[] chunks(long timeoutNs) throws IOException {
+    private byte[] chunks() throws IOException {
         byte[] all = new byte[1024];
         int size = 0;
         startChunks();
         while (true) {
             if (size == all.length) {
-                all = java.util.Arrays.copyOf(all, 2 * size);
+                all = Arrays.copyOf(all, 2 * size);
             }
-            int n = chunk(all, size, all.length - size, timeoutNs);
+            int n = chunk(all, size, all.length - size);
             if (n < 0) {
-                return java.util.Arrays.copyOf(all, size);
+                return Arrays.copyOf(all, size);
             }
             size += n;
             if (size > MOST_BODY) {
@@ -146,14 +184,19 @@
         chunkSeen = false;
     }
 
-    /** Reads some bytes of a chunked body; -1 once the last chunk was read. */
-    public int chunk(byte[] to, int at, int most, long timeoutNs) throws IOException {
+    /** Reads some bytes of a chunked body within so long; -1 once the last chunk was read. */
+    public int chunk(byte[] to, int at, int most, long waitNs) throws IOException {
+        readBy = System.nanoTime() + waitNs;
+        return chunk(to, at, most);
+    }
+
+    private int chunk(byte[] to, int at, int most) throws IOException {
         if (chunkLeft == 0) {
             headBytes = 0;
-            if (chunkSeen && !chunkLine(timeoutNs).isEmpty()) {
+            if (chunkSeen && !line().isEmpty()) {
                 throw new BadMessage(400, "malformed chunk");
             }
-            String size = chunkLine(timeoutNs);
+            String size = line();
             int extension = size.indexOf(';');
             size = (extension < 0 ? size : size.substring(0, extension)).strip();
             if (!size.matches("[0-9a-fA-F]{1,8}")) {
@@ -162,13 +205,13 @@
             chunkLeft = Long.parseLong(size, 16);
             chunkSeen = true;
             if (chunkLeft == 0) {
-                while (!chunkLine(timeoutNs).isEmpty()) {
+                while (!line().isEmpty()) {
                     continue; // trailers say nothing here
                 }
                 return -1;
             }
         }
-        int n = from.read(to, at, (int) Math.min(most, chunkLeft), timeoutNs);
+        int n = from.read(to, at, (int) Math.min(most, chunkLeft), left());
         if (n < 0) {
             throw new EOFException("closed within a chunk");
         }
@@ -176,17 +219,9 @@
         return n;
     }
 
-    private String chunkLine(long timeoutNs) throws IOException {
-        String text = line(timeoutNs, timeoutNs);
-        if (text == null) {
-            throw new EOFException("closed between chunks");
-        }
-        return text;
-    }
-
     /** Reads one line of a chunked body, without its end; null once the last chunk was read. */
     public String chunkedLine(long timeoutNs) throws IOException {
-        java.io.ByteArrayOutputStream bytes = new java.io.ByteArrayOutputStream();
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         byte[] one = new byte[1];
         while (chunk(one, 0, 1, timeoutNs) > 0) {
             if (one[0] == '\n') {
--- a/src/main/java/streamproxy/protocol/HttpWriter.java
+++ b/src/main/java/streamproxy/protocol/HttpWriter.java
@@ -39,6 +39,9 @@
                 + (close ? "Connection: close\r\n" : "") + "Transfer-Encoding: chunked\r\n\r\n", event);
     }
 
+    /** Tells a client that waits for it to send its body. */
+    public void goOn() throws IOException { to.write(ascii("HTTP/1.1 100 Continue\r\n\r\n")); }
+
     public void event(byte[] event) throws IOException { chunk("", event); }
 
     public void lastChunk() throws IOException { to.write(LAST_CHUNK); }
@@ -56,9 +59,8 @@
         byte[] head = ascii(request.method() + " " + request.target() + " HTTP/1.1\r\nHost: " + host
                 + "\r\nReq-Id: " + request.id() + "\r\nReq-Deadline: " + String.format(Locale.ROOT, "%.3f", waitS)
                 + "\r\nContent-Type: application/json\r\nContent-Length: " + request.body().length + "\r\n\r\n");
-        byte[] whole = java.util.Arrays.copyOf(head, head.length + request.body().length);
-        System.arraycopy(request.body(), 0, whole, head.length, request.body().length);
-        to.write(whole);
+        to.write(head);
+        to.write(request.body());
     }
 
     public void get(String target, String host) throws IOException {
--- a/src/main/java/streamproxy/routing/BoxConnection.java
+++ b/src/main/java/streamproxy/routing/BoxConnection.java
@@ -106,7 +106,7 @@
             long left = Math.max(1, attempt.endsAt - box.clock.now());
             writer.passOn(request, to.getHostString() + ":" + to.getPort(), left / SECOND);
             written = true;
-            HttpHead head = reader.answer(left + BEYOND, left + BEYOND);
+            HttpHead head = reader.answer(left + BEYOND);
             LoadReport report = report(head.get("Srv-Load"));
             if (head.status() != 200 || !head.chunked()) {
                 reader.body(head, SILENCE);
@@ -178,7 +178,7 @@
             connect();
             writer.get("/status/load", to.getHostString() + ":" + to.getPort());
             written = true;
-            HttpHead head = reader.answer(PROBE_WAIT, PROBE_WAIT);
+            HttpHead head = reader.answer(PROBE_WAIT);
             String body = new String(reader.body(head, PROBE_WAIT), StandardCharsets.UTF_8);
             outcome = head.status() == 200 ? Outcome.OK : Outcome.ERROR;
             report = report(body);
--- a/src/main/java/streamproxy/routing/BoxList.java
+++ b/src/main/java/streamproxy/routing/BoxList.java
@@ -12,7 +12,7 @@
 import streamproxy.protocol.Json;
 import streamproxy.routing.Routing.ListForm;
 import streamproxy.transport.Connection;
-import streamproxy.transport.DescriptorBudget;
+import streamproxy.transport.Budget;
 import streamproxy.transport.Threads;
 
 /**
@@ -35,12 +35,12 @@
     private static final long SILENCE = 5_000_000_000L;
 
     private final InetSocketAddress discovery;
-    private final DescriptorBudget budget;
+    private final Budget budget;
     private final ModuleActor module;
     private long version;
     private Call watch;
 
-    public BoxList(InetSocketAddress discovery, DescriptorBudget budget, ModuleActor module) {
+    public BoxList(InetSocketAddress discovery, Budget budget, ModuleActor module) {
         super("box list", MAILBOX);
         this.discovery = discovery;
         this.budget = budget;
@@ -105,7 +105,7 @@
 
         private void run() {
             try {
-                if (!budget.tryTake(0)) {
+                if (!budget.tryTake(1, 0)) {
                     throw new IOException("no descriptor for the box list");
                 }
                 try (Connection open = Connection.open(budget)) {
@@ -127,7 +127,7 @@
             open.connect(discovery, SILENCE);
             new HttpWriter(open).get(target, discovery.getHostString() + ":" + discovery.getPort());
             HttpReader reader = new HttpReader(open);
-            HttpHead head = reader.answer(SILENCE, SILENCE);
+            HttpHead head = reader.answer(SILENCE);
             if (head.status() != 200) {
                 throw new IOException("status " + head.status());
             }
--- a/src/main/java/streamproxy/routing/ClientConnection.java
+++ b/src/main/java/streamproxy/routing/ClientConnection.java
@@ -1,7 +1,6 @@
 package streamproxy.routing;
 
 import java.io.IOException;
-import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -15,6 +14,7 @@
 import streamproxy.protocol.HttpWriter;
 import streamproxy.protocol.PassedOn;
 import streamproxy.protocol.PromptHeaders;
+import streamproxy.transport.Budget;
 import streamproxy.transport.Connection;
 
 /**
@@ -24,12 +24,13 @@
 public final class ClientConnection implements Client {
     /** What all client connections of the program share. */
     public record Desk(ModuleActor module, Clock clock, List<String> classes, List<String> tenants,
-            BooleanSupplier ready, BooleanSupplier leaving) { }
+            Budget bodyBytes, BooleanSupplier ready, BooleanSupplier leaving, BooleanSupplier crowded) { }
 
     private enum Kind { EVENT, ENDED, BROKEN, REFUSED, FAILED }
 
     private record Letter(Kind kind, byte[] event, long retryAfterNs) { }
 
+    private static final String LATER = "Retry-After: 1";
     private static final String PATH = "/v1/chat/completions";
     private static final long MS = 1_000_000L;
     private static final double SECOND = 1e9;
@@ -41,6 +42,8 @@
     /** Events that wait for a slow client, and how long they may. */
     private static final int MAILBOX = 64;
     private static final long SLOWEST = 5_000 * MS;
+    /** How long a client that is turned away may take to read why. */
+    private static final long PARTING = 1_000 * MS;
 
     private final Connection connection;
     private final Desk desk;
@@ -64,6 +67,13 @@
         }
     }
 
+    /** Closes the connection of a client that does not read its answer; else it would hold its thread for ever. */
+    public void closeIfStalled() {
+        if (connection.stalled(2 * SLOWEST)) {
+            connection.close();
+        }
+    }
+
     /** Serves the client's requests one after the other until one side closes. */
     public void run() {
         try {
@@ -72,8 +82,6 @@
             }
         } catch (BadMessage e) {
             reject(e);
-        } catch (SocketTimeoutException e) {
-            Logger.debug("a client took too long");
         } catch (IOException e) {
             Logger.debug(e, "a client's connection ended");
         } catch (InterruptedException e) {
@@ -87,6 +95,7 @@
     private void reject(BadMessage e) {
         try {
             writer.answer(e.status(), e.getMessage(), true);
+            connection.closeGently(PARTING);
         } catch (IOException lost) {
             Logger.debug(lost, "a client left before it heard of its mistake");
         }
@@ -108,11 +117,30 @@
         if (prompt && head.get("Content-Length") == null && !head.chunked()) {
             throw new BadMessage(411, "no length");
         }
-        byte[] body = reader.body(head, PART);
         if (!prompt) {
+            reader.body(head, PART);
             boolean ready = desk.ready.getAsBoolean();
             return say(ready ? 200 : 503, ready ? "ready" : "not ready", head);
         }
+        int size = reader.bodySize(head);
+        if (desk.crowded.getAsBoolean() || !desk.bodyBytes.tryTake(size, 0)) {
+            // Short of descriptors or memory: turned away before its body takes any.
+            say(503, "too much at once", head, LATER);
+            connection.closeGently(PARTING);
+            return false;
+        }
+        try {
+            return takeOn(head);
+        } finally {
+            desk.bodyBytes.giveBack(size);
+        }
+    }
+
+    private boolean takeOn(HttpHead head) throws IOException, InterruptedException {
+        if ("100-continue".equalsIgnoreCase(head.get("Expect"))) {
+            writer.goOn();
+        }
+        byte[] body = reader.body(head, PART);
         PromptHeaders prompted = PromptHeaders.read(head);
         int clazz = desk.classes.indexOf(prompted.clazz());
         if (clazz < 0) {
@@ -121,7 +149,7 @@
         Request request = new Request(prompted, clazz, Math.max(0, desk.tenants.indexOf(prompted.tenant())),
                 new PassedOn(head.method(), head.target(), prompted.id(), body), this, desk.clock.now());
         if (!desk.module.taken(request)) {
-            return say(503, "too much at once", head, "Retry-After: 1");
+            return say(503, "too much at once", head, LATER);
         }
         return answer(request, head);
     }
@@ -181,7 +209,11 @@
 
     @Override public boolean event(byte[] event) {
         try {
-            return !gone && mailbox.offer(new Letter(Kind.EVENT, event, 0), SLOWEST, TimeUnit.NANOSECONDS);
+            boolean room = !gone && mailbox.offer(new Letter(Kind.EVENT, event, 0), SLOWEST, TimeUnit.NANOSECONDS);
+            if (!room) {
+                connection.close(); // it has not read for long
+            }
+            return room && !gone;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return false;
@@ -198,7 +230,7 @@
 
     private void last(Kind kind, long retryAfterNs) {
         if (!mailbox.offer(new Letter(kind, null, retryAfterNs))) {
-            connection.close(); // it has not read for long: the closed connection tells it that its stream is not whole
+            connection.close(); // it has not read for long; this tells it that its stream is not whole
         }
     }
 }
--- a/src/main/java/streamproxy/routing/ModelBox.java
+++ b/src/main/java/streamproxy/routing/ModelBox.java
@@ -8,7 +8,7 @@
 import streamproxy.protocol.BoxEntry;
 import streamproxy.routing.Routing.Outcome;
 import streamproxy.transport.Connection;
-import streamproxy.transport.DescriptorBudget;
+import streamproxy.transport.Budget;
 
 /**
  * The actor of one model box: owns the pool of its connections and hands attempts and probes to them. It never
@@ -39,7 +39,7 @@
     final ReportLayout layout;
     final Clock clock;
     final ModuleActor module;
-    private final DescriptorBudget budget;
+    private final Budget budget;
     private volatile InetSocketAddress endpoint;
     private volatile boolean ready;
     private final ArrayDeque<BoxConnection> idle = new ArrayDeque<>(); // the last used first
@@ -47,7 +47,7 @@
     private boolean retired;
 
     ModelBox(long id, BoxEntry entry, SettingsText.Deployment deployment, ReportLayout layout,
-            DescriptorBudget budget, Clock clock, ModuleActor module) {
+            Budget budget, Clock clock, ModuleActor module) {
         super("box " + entry.uid(), MAILBOX);
         this.id = id;
         this.deployment = deployment;
@@ -82,7 +82,7 @@
     @Override void take(Message message) {
         if (message instanceof Send m) {
             if (!m.attempt.isOver() && !give(new BoxConnection.Errand(m.attempt, 0))) {
-                module.over(m.attempt, Outcome.CONNECT_FAILED, 0, null);
+                module.over(m.attempt, Outcome.MOOT, 0, null); // our own want of descriptors is no fault of the box
             }
         } else if (message instanceof Probe m) {
             if (!give(new BoxConnection.Errand(null, m.at))) {
@@ -111,16 +111,21 @@
             }
             connection.dismiss();
         }
-        if (!budget.tryTake(SPARE)) {
+        if (!budget.tryTake(1, SPARE)) {
             return false;
         }
+        Connection opened = null;
         try {
-            BoxConnection connection = new BoxConnection(this, Connection.open(budget), endpoint);
+            opened = Connection.open(budget);
+            BoxConnection connection = new BoxConnection(this, opened, endpoint);
             connection.give(errand);
             connection.start();
             return true;
-        } catch (IOException | OutOfMemoryError e) {
+        } catch (IOException | OutOfMemoryError e) { // no descriptor or no thread to be had
             Logger.warn(e, "no connection to a box can be opened");
+            if (opened != null) {
+                opened.close();
+            }
             return false;
         }
     }
--- a/src/main/java/streamproxy/routing/ModelBoxes.java
+++ b/src/main/java/streamproxy/routing/ModelBoxes.java
@@ -3,18 +3,18 @@
 import java.util.HashMap;
 import java.util.Map;
 import streamproxy.protocol.BoxEntry;
-import streamproxy.transport.DescriptorBudget;
+import streamproxy.transport.Budget;
 
 /** The actors of the model boxes that the box list names, over HTTP. */
 public final class ModelBoxes implements Boxes {
     private final Map<Long, ModelBox> byId = new HashMap<>(); // the module's actor alone touches it
     private final SettingsText.Deployment deployment;
     private final ReportLayout layout;
-    private final DescriptorBudget budget;
+    private final Budget budget;
     private final Clock clock;
     private ModuleActor module;
 
-    public ModelBoxes(SettingsText settings, DescriptorBudget budget, Clock clock) {
+    public ModelBoxes(SettingsText settings, Budget budget, Clock clock) {
         this.deployment = settings.deployment();
         this.layout = settings.reportLayout();
         this.budget = budget;
--- a/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/src/main/java/streamproxy/routing/ModuleActor.java
@@ -58,7 +58,7 @@
     private long now;
     private long order;
     private long numbers;
-    private volatile int open;
+    private volatile boolean knowsBoxes;
 
     public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes) {
         super("module", MAILBOX);
@@ -98,8 +98,8 @@
 
     void listNews(ListForm form, List<BoxEntry> entries) { put(new ListNews(form, entries)); }
 
-    /** Requests without their final answer. */
-    public int open() { return open; }
+    /** Whether there is any model box to send to. */
+    public boolean knowsBoxes() { return knowsBoxes; }
 
     // ---- The actor --------------------------------------------------------------------------------
 
@@ -136,6 +136,7 @@
         if (message instanceof Taken m) {
             arrive(m.request);
         } else if (message instanceof Began m) {
+            m.attempt.request.dropBody();
             policy.on(now, new Routing.FirstByte(m.attempt.request.number, m.attempt.number, m.attempt.boxId,
                     now - m.attempt.sentAt));
         } else if (message instanceof AttemptOver m) {
@@ -152,12 +153,16 @@
     private void arrive(Request request) {
         request.number = ++numbers;
         requests.put(request.number, request);
-        open++;
         // The module answers before that; should it fail to, the client still gets its one answer in time.
         dues.add(new Due(request.deadlineAt, ++order, 0, null, request));
-        policy.on(now, new Routing.Arrival(request.number, request.clazz, request.tenant, request.prompt.key(),
-                request.prompt.prefix(), request.prompt.promptTokens(), request.prompt.prefixTokens(),
-                request.prompt.mostTokens(), request.deadlineAt - now, -1, request.prompt.clientRetry()));
+        try {
+            policy.on(now, new Routing.Arrival(request.number, request.clazz, request.tenant, request.prompt.key(),
+                    request.prompt.prefix(), request.prompt.promptTokens(), request.prompt.prefixTokens(),
+                    request.prompt.mostTokens(), request.deadlineAt - now, -1, request.prompt.clientRetry()));
+        } catch (RuntimeException e) {
+            Logger.error(e, "the module could not take request {}", request.prompt.id());
+            fail(request.number);
+        }
     }
 
     private void attemptOver(AttemptOver m) {
@@ -206,7 +211,6 @@
         if (!request.over) {
             request.over = true;
             request.dropBody();
-            open--;
         }
     }
 
@@ -246,6 +250,7 @@
                 }
             }
         }
+        knowsBoxes = !known.isEmpty();
         policy.on(now, new Routing.ListChange(news.form, entries));
     }
 
--- a/src/main/java/streamproxy/transport/Connection.java
+++ b/src/main/java/streamproxy/transport/Connection.java
@@ -1,6 +1,5 @@
 package streamproxy.transport;
 
-import java.io.EOFException;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
@@ -20,21 +19,22 @@
     private static final int BUFFER = 8 * 1024;
 
     private final SocketChannel channel;
-    private final DescriptorBudget budget;
+    private final Budget budget;
     private final AtomicBoolean closed = new AtomicBoolean();
     private final byte[] buffer = new byte[BUFFER];
+    private volatile long writingSince; // 0: no write is waiting
     private int next;
     private int end;
 
     /** Wraps an open channel whose place in the budget is already taken. */
-    Connection(SocketChannel channel, DescriptorBudget budget) throws IOException {
+    Connection(SocketChannel channel, Budget budget) throws IOException {
         this.channel = channel;
         this.budget = budget;
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     }
 
     /** An unconnected one; the caller has taken its place in the budget, {@link #close} gives it back. */
-    public static Connection open(DescriptorBudget budget) throws IOException {
+    public static Connection open(Budget budget) throws IOException {
         SocketChannel channel = null;
         try {
             channel = SocketChannel.open();
@@ -43,7 +43,7 @@
             if (channel != null) {
                 channel.close();
             }
-            budget.giveBack();
+            budget.giveBack(1);
             throw e;
         }
     }
@@ -52,6 +52,9 @@
         channel.socket().connect(to, (int) Math.max(1, timeoutNs / 1_000_000));
     }
 
+    /** Waits so long (0: for ever) for the first byte of what comes next; false at the end. */
+    public boolean awaitByte(long timeoutNs) throws IOException { return next < end || fill(timeoutNs); }
+
     /** Reads one byte, waiting at most so long (0: for ever); -1 at the end. */
     public int read(long timeoutNs) throws IOException {
         return next < end || fill(timeoutNs) ? buffer[next++] & 0xff : -1;
@@ -68,19 +71,6 @@
         return n;
     }
 
-    public void readFully(byte[] to, long timeoutNs) throws IOException {
-        for (int at = 0; at < to.length;) {
-            int n = read(to, at, to.length - at, timeoutNs);
-            if (n < 0) {
-                throw new EOFException("the peer closed within a body");
-            }
-            at += n;
-        }
-    }
-
-    /** True where more can be read without waiting for the network. */
-    public boolean buffered() { return next < end; }
-
     private boolean fill(long timeoutNs) throws IOException {
         channel.socket().setSoTimeout((int) Math.min(Integer.MAX_VALUE, (timeoutNs + 999_999) / 1_000_000));
         int n = channel.socket().getInputStream().read(buffer, 0, BUFFER);
@@ -108,13 +98,44 @@
 
     public void write(byte[] bytes, int at, int length) throws IOException {
         OutputStream out = channel.socket().getOutputStream();
-        out.write(bytes, at, length);
+        writingSince = System.nanoTime() | 1;
+        try {
+            // In pieces: each thread that writes keeps a buffer of the largest piece outside the heap.
+            for (int done = 0; done < length; done += BUFFER) {
+                out.write(bytes, at + done, Math.min(BUFFER, length - done));
+            }
+        } finally {
+            writingSince = 0;
+        }
+    }
+
+    /** Whether the peer has kept a write waiting for longer than that. */
+    public boolean stalled(long longestNs) {
+        long since = writingSince;
+        return since != 0 && System.nanoTime() - since > longestNs;
     }
 
     public void write(byte[] bytes) throws IOException { write(bytes, 0, bytes.length); }
 
     public boolean isClosed() { return closed.get(); }
 
+    /**
+     * Closes after the peer has had time to read what was written: closing at once over bytes that nobody read
+     * resets the connection, and the last answer may be lost with it.
+     */
+    public void closeGently(long waitNs) {
+        long until = System.nanoTime() + waitNs;
+        try {
+            channel.shutdownOutput();
+            do {
+                next = end; // what still comes is not wanted
+            } while (System.nanoTime() < until && fill(Math.max(1, until - System.nanoTime())));
+        } catch (IOException e) {
+            // the peer has gone already
+        }
+        close();
+    }
+
     @Override public void close() {
         if (closed.compareAndSet(false, true)) {
             try {
@@ -122,7 +143,7 @@
             } catch (IOException e) {
                 // nothing is left to be done for it
             }
-            budget.giveBack();
+            budget.giveBack(1);
         }
     }
 }
--- a/src/main/java/streamproxy/transport/Listener.java
+++ b/src/main/java/streamproxy/transport/Listener.java
@@ -15,10 +15,10 @@
     private static final long PAUSE_MS = 20;
 
     private final ServerSocketChannel server;
-    private final DescriptorBudget budget;
+    private final Budget budget;
     private final Consumer<Connection> takes;
 
-    public Listener(InetSocketAddress at, DescriptorBudget budget, Consumer<Connection> takes) throws IOException {
+    public Listener(InetSocketAddress at, Budget budget, Consumer<Connection> takes) throws IOException {
         this.budget = budget;
         this.takes = takes;
         server = ServerSocketChannel.open();
@@ -32,7 +32,7 @@
 
     private void run() {
         while (server.isOpen()) {
-            if (!budget.tryTake(0)) {
+            if (!budget.tryTake(1, 0)) {
                 pause(); // the backlog holds what comes until a place is free
                 continue;
             }
@@ -41,11 +41,11 @@
                 channel = server.accept();
                 takes.accept(new Connection(channel, budget));
             } catch (ClosedChannelException e) {
-                budget.giveBack();
+                budget.giveBack(1);
                 return;
             } catch (IOException | RuntimeException | OutOfMemoryError e) {
                 Logger.warn(e, "a connection could not be taken");
-                budget.giveBack();
+                budget.giveBack(1);
                 closeQuietly(channel);
                 pause();
             }
