--- a/src/main/java/streamproxy/program/Router.java
+++ b/src/main/java/streamproxy/program/Router.java
@@ -20,7 +20,7 @@
 import streamproxy.transport.Threads;
 
 /** One router: wires the layers, opens the listener, and leaves in good order. */
-public final class Router {
+public final class Router implements AutoCloseable {
     /** Descriptors that the JVM itself holds: its files, pipes and the listener. */
     private static final int OWN_DESCRIPTORS = 64;
     /** After SIGTERM new connections still come for a while; what is closed then has lost nothing. */
@@ -115,4 +115,7 @@
         lifecycle.enter(Lifecycle.Phase.STOPPED);
         Logger.info("all that was taken is answered");
     }
+
+    /** Stops taking connections, whatever is in work. */
+    @Override public void close() throws IOException { listener.close(); }
 }
--- /dev/null
+++ b/src/test/java/streamproxy/stories/RouterStories.java
@@ -0,0 +1,269 @@
+package streamproxy.stories;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.After;
+import org.junit.Test;
+import streamproxy.program.Lifecycle.Phase;
+import streamproxy.program.Router;
+
+/** What the router does on sockets, told against scripted peers; one story for each way in which it could fail. */
+public class RouterStories {
+    private static final String ONE = "data: {\"choices\":[{\"delta\":{\"content\":\"oqvh\"}}]}\n\n";
+    private static final String TWO = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9}}\n\n";
+    private static final String DONE = "data: [DONE]\n\n";
+    private static final ScriptedBox.Script SERVES = e -> e.stream(ONE, TWO, DONE);
+
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private Router router;
+
+    @After public void closeAll() throws Exception {
+        for (AutoCloseable o : opened) {
+            o.close();
+        }
+        if (router != null) {
+            router.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T keep(T it) {
+        opened.add(it);
+        return it;
+    }
+
+    private ScriptedBox box(ScriptedBox.Script script) throws IOException { return keep(new ScriptedBox(script)); }
+
+    private Deployment routerOver(ScriptedBox... boxes) throws Exception {
+        Deployment deployment = keep(Deployment.of(boxes));
+        router = deployment.start();
+        return deployment;
+    }
+
+    private Caller caller() throws IOException { return keep(new Caller(router.address())); }
+
+    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+        while (!condition.getAsBoolean()) {
+            assertTrue("not in time: " + what, System.nanoTime() < until);
+            Thread.sleep(5);
+        }
+    }
+
+    private static String chunk(String text) { return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n"; }
+
+    @Test public void eachEventReachesTheClientUnchangedBeforeTheNextIsMade() throws Exception {
+        CountDownLatch firstRead = new CountDownLatch(1);
+        ScriptedBox box = box(e -> {
+            e.streamHead();
+            e.chunk(ONE);
+            assertTrue(firstRead.await(10, TimeUnit.SECONDS));
+            e.chunk(TWO + DONE.substring(0, 5)); // a chunk may end within an event
+            e.chunk(DONE.substring(5));
+            e.write("0\r\n\r\n");
+        });
+        routerOver(box);
+        Caller caller = caller().send(Caller.prompt("a1", "{\"model\":\"chat\"}"));
+        String first = caller.readTo(chunk(ONE));
+        assertTrue(first, first.startsWith("HTTP/1.1 200 "));
+        firstRead.countDown();
+        assertEquals(chunk(TWO) + chunk(DONE) + "0\r\n\r\n", caller.readTo("0\r\n\r\n"));
+        ScriptedBox.Exchange passed = box.attempts.take();
+        assertTrue(passed.head(), passed.head().startsWith("POST /v1/chat/completions HTTP/1.1\r\n"));
+        assertTrue(passed.head(), passed.head().contains("\r\nReq-Id: a1\r\n"));
+        assertEquals("{\"model\":\"chat\"}", passed.body());
+    }
+
+    @Test public void connectionsAreUsedAgainAndOneClosedWhileIdleIsNot() throws Exception {
+        ScriptedBox box = box(SERVES);
+        Deployment deployment = routerOver(box);
+        Caller caller = caller();
+        for (int i = 0; i < 5; i++) {
+            caller.send(Caller.prompt("a" + i, "{}")).readTo("0\r\n\r\n");
+        }
+        int before = box.connections.get();
+        assertTrue("connections " + before, before <= 2); // a probe may have needed one of its own
+        box.closeConnections();
+        String answer = caller.send(Caller.prompt("b", "{}")).readTo("0\r\n\r\n");
+        assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+        assertEquals("nothing was sent twice", 6, box.attempts.size());
+        assertNotNull(deployment);
+    }
+
+    @Test public void aDeclinedAttemptGoesToAnotherBox() throws Exception {
+        ScriptedBox full = box(e -> e.answer("503 Busy", "Srv-Declined: 1\r\n", "full"));
+        ScriptedBox other = box(SERVES);
+        routerOver(full, other);
+        for (int i = 0; full.attempts.isEmpty(); i++) {
+            assertTrue("the full box was never tried", i < 200);
+            String answer = caller().send(Caller.prompt("a" + i, "{}")).readTo("0\r\n\r\n");
+            assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+        }
+    }
+
+    @Test public void withNoBoxReachableTheClientIsRefusedAtOnceAndToldWhenToComeBack() throws Exception {
+        ScriptedBox dead = box(SERVES);
+        dead.close();
+        routerOver(dead);
+        long from = System.nanoTime();
+        String answer = caller().send(Caller.prompt("a1", "{}")).readTo("refused");
+        assertTrue(answer, answer.startsWith("HTTP/1.1 503 ") && answer.contains("\r\nRetry-After: "));
+        assertTrue("answered within the class's aim", System.nanoTime() - from < 2_900_000_000L);
+    }
+
+    @Test public void aBrokenStreamClosesTheClientsConnectionWithoutTheLastChunk() throws Exception {
+        routerOver(box(e -> {
+            e.streamHead();
+            e.chunk(ONE);
+            e.socket().close();
+        }));
+        String answer = caller().send(Caller.prompt("a1", "{}")).readAll();
+        assertTrue(answer, answer.endsWith(chunk(ONE)));
+    }
+
+    @Test public void aSilentStreamEndsWithoutTheLastChunk() throws Exception {
+        routerOver(box(e -> {
+            e.streamHead();
+            e.chunk(ONE);
+            e.awaitClose();
+        }));
+        String answer = caller().send(Caller.prompt("a1", "{}")).readAll();
+        assertTrue(answer, answer.endsWith(chunk(ONE)));
+    }
+
+    @Test public void aClientThatLeavesEndsItsAttempt() throws Exception {
+        CountDownLatch ended = new CountDownLatch(1);
+        ScriptedBox box = box(e -> {
+            e.awaitClose();
+            ended.countDown();
+        });
+        routerOver(box);
+        Caller caller = caller().send(Caller.prompt("a1", "{}"));
+        assertNotNull(box.attempts.poll(10, TimeUnit.SECONDS));
+        caller.close();
+        assertTrue("the box's connection ends well before the deadline", ended.await(1500, TimeUnit.MILLISECONDS));
+    }
+
+    @Test public void whatCannotBeServedGetsItsAnswerAndNoAttempt() throws Exception {
+        ScriptedBox box = box(SERVES);
+        routerOver(box);
+        String good = Caller.prompt("a1", "{}");
+        String[][] bad = {
+            {"400", "nonsense\r\n\r\n"},
+            {"400", good.replace("Req-Kind: chat", "Req-Kind: poem")},
+            {"400", good.replace("Req-Id: a1\r\n", "")},
+            {"400", good.replace("Req-Key: 7f3a9c21e0b4d655", "Req-Key: what")},
+            {"400", good.replace("3.000", "soon")},
+            {"400", good.replace("prompt_len=100,", "")},
+            {"400", good.replace("Host: app.svc\r\n", "")},
+            {"400", good.replace("Content-Length: 2", "Content-Length: -2")},
+            {"400", good.replace("Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding: chunked")},
+            {"400", good.replace("Content-Length: 2", "Content-Length: 2\r\nContent-Length: 2")},
+            {"400", good.replace("app.svc", "app\rReq-Id: x")},
+            {"411", good.replace("Content-Length: 2\r\n", "")},
+            {"413", good.replace("Content-Length: 2", "Content-Length: 262145")},
+            {"413", Caller.prompt("a1", "x".repeat(300_000))},
+            {"431", good.replace("app.svc", "a".repeat(20_000))},
+            {"404", good.replace("/v1/chat/completions", "/v1/poems")},
+            {"405", good.replace("POST", "GET")},
+            {"505", good.replace("HTTP/1.1", "HTTP/1.0")},
+        };
+        for (String[] one : bad) {
+            String answer = caller().send(one[1]).readAll();
+            assertTrue(one[0] + " expected: " + answer, answer.startsWith("HTTP/1.1 " + one[0] + " "));
+            assertTrue(answer, answer.contains("\r\nConnection: close\r\n"));
+        }
+        assertEquals(0, box.attempts.size());
+    }
+
+    @Test public void aBoxToldDrainingGetsNothingMoreAndALostWatchIsAskedForAgain() throws Exception {
+        ScriptedBox first = box(SERVES);
+        ScriptedBox second = box(SERVES);
+        Deployment deployment = routerOver(first, second);
+        deployment.news.add("");
+        deployment.news.add("end");
+        assertNotNull("the first watch", deployment.list.attempts.poll(15, TimeUnit.SECONDS));
+        ScriptedBox.Exchange again = deployment.list.attempts.poll(15, TimeUnit.SECONDS);
+        assertNotNull("the second watch", again);
+        assertTrue(again.head(), again.head().startsWith("GET /v1/endpoints?follow=1&since=1 "));
+        ScriptedBox third = box(SERVES);
+        deployment.news.add(Deployment.told(2, false, Deployment.entry("s-0", first.address(), "draining") + ","
+                + Deployment.entry("s-1", second.address(), "gone") + "," + Deployment.entry("s-2", third.address(), "ready")));
+        for (int i = 0; third.attempts.isEmpty(); i++) { // told as soon as the newcomer gets work
+            caller().send(Caller.prompt("a" + i, "{}")).readTo("0\r\n\r\n");
+        }
+        int before = first.attempts.size() + second.attempts.size();
+        for (int i = 0; i < 30; i++) {
+            caller().send(Caller.prompt("b" + i, "{}")).readTo("0\r\n\r\n");
+        }
+        assertEquals(before, first.attempts.size() + second.attempts.size());
+    }
+
+    @Test public void leavingFinishesWhatWasTakenAndTakesWhatStillComes() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        ScriptedBox box = box(e -> {
+            assertTrue(go.await(10, TimeUnit.SECONDS));
+            e.stream(ONE, DONE);
+        });
+        routerOver(box);
+        Caller early = caller().send(Caller.prompt("a1", "{}"));
+        Caller idle = caller().send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        assertTrue(idle.readTo("ready").startsWith("HTTP/1.1 200 "));
+        assertNotNull(box.attempts.poll(10, TimeUnit.SECONDS));
+        Thread leaving = new Thread(() -> {
+            try {
+                router.leave();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        leaving.start();
+        await("leaving", () -> router.lifecycle().phase() != Phase.SERVING);
+        Caller late = caller().send(Caller.prompt("a2", "{}"));
+        assertNotNull("still taken", box.attempts.poll(10, TimeUnit.SECONDS));
+        assertEquals("", idle.readAll());
+        assertFalse(router.lifecycle().ready());
+        go.countDown();
+        for (Caller c : List.of(early, late)) {
+            String answer = c.readAll();
+            assertTrue(answer, answer.contains("\r\nConnection: close\r\n") && answer.endsWith("0\r\n\r\n"));
+        }
+        leaving.join(15_000);
+        assertEquals(Phase.STOPPED, router.lifecycle().phase());
+        assertNull(box.attempts.poll());
+    }
+
+    @Test public void outOfDescriptorsTheRouterShedsAndServesAgainWhenSomeAreFree() throws Exception {
+        ScriptedBox box = box(SERVES);
+        Deployment deployment = keep(new Deployment("127.0.0.1:0", 160, box));
+        router = deployment.start();
+        List<Caller> crowd = new ArrayList<>();
+        String answer = "HTTP/1.1 200 ";
+        while (answer.startsWith("HTTP/1.1 200 ")) {
+            assertTrue("never shed", crowd.size() < 160);
+            crowd.add(caller().send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"));
+            crowd.get(crowd.size() - 1).readTo("ready");
+            answer = caller().send(Caller.prompt("a" + crowd.size(), "{}")).readTo("\n");
+        }
+        assertTrue(answer, answer.startsWith("HTTP/1.1 503 "));
+        for (Caller c : crowd) {
+            c.close();
+        }
+        await("served again", () -> {
+            try {
+                return caller().send(Caller.prompt("b", "{}")).readTo("\n").startsWith("HTTP/1.1 200 ");
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+}
