--- a/src/main/java/streamproxy/routing/Policy.java
+++ b/src/main/java/streamproxy/routing/Policy.java
@@ -838,9 +838,8 @@
     /** The one final answer; refused where that is true, failed else. */
     private void answer(Req q) {
         if (mayRefuse(q)) {
-            // What was tried in vain feeds the overload if it comes back at once; what was not may.
-            boolean wait = set.limits().retryAfter() && !q.attempts.isEmpty();
-            out.refuse(q.in.request(), wait ? set.limits().maxRetryAfterNs() : 0);
+            // Refused work feeds the overload if it comes back at once: the client is told when to come back.
+            out.refuse(q.in.request(), set.limits().retryAfter() ? set.limits().maxRetryAfterNs() : 0);
         } else {
             out.fail(q.in.request());
         }
--- a/src/test/java/streamproxy/routing/PolicyTest.java
+++ b/src/test/java/streamproxy/routing/PolicyTest.java
@@ -377,4 +377,16 @@
         }
         return rig.actions;
     }
+
+    /** Shed at once, a client without advice came back at once and fed the overload. */
+    @Test void whatIsShedIsToldWhenToComeBack() {
+        Rig rig = three(Rig.withRetryAfter(pull(safe()), 2 * S));
+        for (int i = 0; i < 200 && rig.retryAfters.isEmpty(); i++) {
+            rig.report(1, 50_000).report(2, 50_000).report(3, 50_000).arrive(i, 0, 1000, 0).pass(10 * MS);
+        }
+        assertEquals(1, rig.retryAfters.size(), "something was shed");
+        assertEquals(2 * S, rig.retryAfters.get(0));
+        String refused = rig.actions.stream().filter(a -> a.startsWith("refuse")).findFirst().orElseThrow();
+        assertEquals(List.of(), rig.sends(Long.parseLong(refused.split(" ")[1])), "and was shed unsent");
+    }
 }
--- a/src/test/java/streamproxy/routing/Rig.java
+++ b/src/test/java/streamproxy/routing/Rig.java
@@ -11,6 +11,7 @@
 
     final List<String> actions = new ArrayList<>();
     final List<long[]> timers = new ArrayList<>();
+    final List<Long> retryAfters = new ArrayList<>();
     private final Policy policy;
     long now;
 
@@ -30,6 +31,14 @@
                 new Routing.Prices(0.02, 0.002, 0, 0, 0));
     }
 
+    /** The same settings where clients can be told when to come back. */
+    static Routing.Settings withRetryAfter(Routing.Settings s, long mostNs) {
+        Routing.Limits l = s.limits();
+        return new Routing.Settings(s.me(), s.gateways(), s.zone(), s.classes(), s.tenants(), s.overShareWorth(),
+                s.reports(), s.listOnRequest(), s.rules(), new Routing.Limits(l.maxAttempts(), l.secondCopies(),
+                l.cancel(), l.probes(), true, mostNs), s.prices());
+    }
+
     static Routing.RequestClass clazz(Routing.Effect effect, Routing.Group group) {
         return new Routing.RequestClass("c", effect, group, 2 * S, 2 * S, 0, 8 * S, 1, 0, true);
     }
@@ -119,7 +128,10 @@
 
     @Override public void cancel(long request, int attempt) { actions.add("cancel " + request + " " + attempt); }
 
-    @Override public void refuse(long request, long retryAfterNs) { actions.add("refuse " + request); }
+    @Override public void refuse(long request, long retryAfterNs) {
+        actions.add("refuse " + request);
+        retryAfters.add(retryAfterNs);
+    }
 
     @Override public void fail(long request) { actions.add("fail " + request); }
 
