Break a stream that stays silent for 20 of its class's token aims

At fault: the fixed limit of 4 s in BoxConnection. Now max(1 s, 20 token aims) where clients ask for the rest, 4 s as before where they do not. The test's start no longer races with the first list: it waits for /ready.

--- a/src/main/java/streamproxy/routing/BoxConnection.java
+++ b/src/main/java/streamproxy/routing/BoxConnection.java
@@ -24,8 +24,8 @@
     /** An attempt to carry, or, where that is null, a probe asked for at that time. */
     record Errand(Attempt attempt, long probeAt) { }
 
-    /** A stream without an event for so long has stopped: its client must not hang. */
-    private static final long SILENCE = 4_000_000_000L;
+    /** The rest of an answer that is no stream comes at once, or not at all. */
+    private static final long REST = 1_000_000_000L;
     /** A probe without an answer for so long has none. */
     private static final long PROBE_WAIT = 1_000_000_000L;
     /** The module's actor ends an attempt in time; this only keeps a thread from waiting for ever. */
@@ -109,7 +109,7 @@
             HttpHead head = reader.answer(left + BEYOND);
             LoadReport report = report(head.get("Srv-Load"));
             if (head.status() != 200 || !head.chunked()) {
-                reader.body(head, SILENCE);
+                reader.body(head, REST);
                 boolean declined = "1".equals(head.get("Srv-Declined"));
                 box.module.over(attempt, declined ? Outcome.FULL : Outcome.ERROR, 0, report);
                 return !head.closes();
@@ -139,7 +139,9 @@
         box.module.began(attempt);
         double kept = 0;
         LoadReport last = report;
-        for (byte[] event = events.next(SILENCE); there && event != null; event = events.next(SILENCE)) {
+        // A box that vanishes says nothing: without a limit its client would hang for as long as the box is away.
+        long silence = box.deployment.silenceNs().get(attempt.request.clazz);
+        for (byte[] event = events.next(silence); there && event != null; event = events.next(silence)) {
             kept = Math.max(kept, EventStream.keptTokens(event));
             LoadReport said = event[0] == ':' ? comment(event) : null;
             last = said != null ? said : last;
--- a/src/main/java/streamproxy/routing/SettingsText.java
+++ b/src/main/java/streamproxy/routing/SettingsText.java
@@ -70,15 +70,30 @@
 
     /** What a router needs to know of its deployment beside what the module is told. */
     public record Deployment(List<String> centres, List<String> kinds, List<String> tenants, long connectTimeoutNs,
-            long keepaliveNs) { }
+            long keepaliveNs, List<Long> silenceNs) { }
+
+    /** A stream is held to have stopped after so many times its class's aim for one token, but at least so long. */
+    private static final double SILENT_TOKENS = 20;
+    private static final double SILENT_LEAST = 1e9;
+    /** Where a broken stream's client cannot have the rest, it is only broken when it would be lost by waiting. */
+    private static final double SILENT_LONGEST = 4e9;
 
     public Deployment deployment() {
         List<String> tenants = new ArrayList<>();
         for (int i = 0; i < (int) get("Tenants.count", 0); i++) {
             tenants.add(values.getOrDefault("Tenants." + i + ".Name", "tenant-" + i));
         }
+        List<Long> silence = new ArrayList<>();
+        String[] tokenAims = list("Domain.TokenAim");
+        for (int i = 0; i < (int) need("Classes.count"); i++) {
+            double aim = number(i < tokenAims.length ? tokenAims[i] : "", SILENT_LONGEST);
+            boolean resumed = flag("Domain.Resume", false);
+            silence.add((long) (resumed ? Math.min(SILENT_LONGEST, Math.max(SILENT_LEAST, SILENT_TOKENS * aim))
+                    : SILENT_LONGEST));
+        }
         return new Deployment(List.of(list("Areas")), List.of(list("Flavors")), tenants,
-                (long) need("Limits.ConnectTimeout"), (long) need("Limits.Keepalive"));
+                (long) need("Limits.ConnectTimeout"), (long) need("Limits.Keepalive"),
+                silence);
     }
 
     /** What each value of a load report is and its scale, in the order of the reports. */
--- a/src/test/java/streamproxy/stories/Deployment.java
+++ b/src/test/java/streamproxy/stories/Deployment.java
@@ -65,7 +65,7 @@
              "Classes":[{"Name":"chat","GiveUp":3000000000,"Promise":2500000000,"Gain":1.0,"Group":"all",
               "Idempotency":"safe","Stream":true,"Window":0}],
              "Domain":{"AimUsPer1000PromptTokens":[0],"ReportX1":"thousands of prompt tokens waiting to be read",
-              "TokenAim":[20000000]},
+              "TokenAim":[20000000],"Resume":true},
              "Guarantees":{"AskEvery":2000000000,"Fall":2000000000,"GraceToAnswer":20000000,"RampTime":24000000000,
               "StartCapacity":0.12,"StopSendingWithin":500000000,"TipMultiple":2.5},
              "Limits":{"Cancel":true,"ConnectTimeout":120000000,"Keepalive":5000000000,"MaxAttempts":3,
--- a/src/test/java/streamproxy/stories/ProgramStories.java
+++ b/src/test/java/streamproxy/stories/ProgramStories.java
@@ -32,13 +32,17 @@
         }
     }
 
-    private static String ready(InetSocketAddress router, Process program) throws Exception {
+    private static void awaitReady(InetSocketAddress router, Process program) throws Exception {
         while (program.isAlive()) {
             try (Caller caller = new Caller(router)) {
-                return caller.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").readTo("\n");
+                String answer = caller.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").readTo("\n");
+                if (answer.startsWith("HTTP/1.1 200 ")) {
+                    return;
+                }
             } catch (java.net.ConnectException e) {
-                Thread.sleep(20); // it has not opened its listener yet
+                // it has not opened its listener yet
             }
+            Thread.sleep(20);
         }
         throw new IOException("ended with " + program.exitValue());
     }
@@ -49,7 +53,7 @@
                 Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
             Process program = start(deployment.environment, "serve");
             try {
-                assertTrue(ready(at, program).startsWith("HTTP/1.1 200 "));
+                awaitReady(at, program);
                 try (Caller caller = new Caller(at)) {
                     String answer = caller.send(Caller.prompt("a1", "{}")).readTo("0\r\n\r\n");
                     assertTrue(answer, answer.contains("data: hello\n\n"));
--- a/src/test/java/streamproxy/stories/RouterStories.java
+++ b/src/test/java/streamproxy/stories/RouterStories.java
@@ -43,12 +43,23 @@
 
     private ScriptedBox box(ScriptedBox.Script script) throws IOException { return keep(new ScriptedBox(script)); }
 
-    private Deployment routerOver(ScriptedBox... boxes) throws Exception {
-        Deployment deployment = keep(Deployment.of(boxes));
+    private Deployment routerOver(ScriptedBox... boxes) throws Exception { return routerIn(keep(Deployment.of(boxes))); }
+
+    private Deployment routerIn(Deployment deployment) throws Exception {
         router = deployment.start();
+        await("ready", () -> ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
         return deployment;
     }
 
+    /** The first line of the answer, on a connection of its own. */
+    private String ask(String request) {
+        try (Caller caller = new Caller(router.address())) {
+            return caller.send(request).readTo("\n");
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private Caller caller() throws IOException { return keep(new Caller(router.address())); }
 
     private static void await(String what, BooleanSupplier condition) throws InterruptedException {
@@ -85,7 +96,7 @@
 
     @Test public void connectionsAreUsedAgainAndOneClosedWhileIdleIsNot() throws Exception {
         ScriptedBox box = box(SERVES);
-        Deployment deployment = routerOver(box);
+        routerOver(box);
         Caller caller = caller();
         for (int i = 0; i < 5; i++) {
             caller.send(Caller.prompt("a" + i, "{}")).readTo("0\r\n\r\n");
@@ -96,7 +107,6 @@
         String answer = caller.send(Caller.prompt("b", "{}")).readTo("0\r\n\r\n");
         assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
         assertEquals("nothing was sent twice", 6, box.attempts.size());
-        assertNotNull(deployment);
     }
 
     @Test public void aDeclinedAttemptGoesToAnotherBox() throws Exception {
@@ -136,8 +146,10 @@
             e.chunk(ONE);
             e.awaitClose();
         }));
+        long from = System.nanoTime();
         String answer = caller().send(Caller.prompt("a1", "{}")).readAll();
         assertTrue(answer, answer.endsWith(chunk(ONE)));
+        assertTrue("soon enough to ask for the rest", System.nanoTime() - from < 3_500_000_000L);
     }
 
     @Test public void aClientThatLeavesEndsItsAttempt() throws Exception {
@@ -244,8 +256,7 @@
 
     @Test public void outOfDescriptorsTheRouterShedsAndServesAgainWhenSomeAreFree() throws Exception {
         ScriptedBox box = box(SERVES);
-        Deployment deployment = keep(new Deployment("127.0.0.1:0", 160, box));
-        router = deployment.start();
+        routerIn(keep(new Deployment("127.0.0.1:0", 160, box)));
         List<Caller> crowd = new ArrayList<>();
         String answer = "HTTP/1.1 200 ";
         while (answer.startsWith("HTTP/1.1 200 ")) {
@@ -258,12 +269,6 @@
         for (Caller c : crowd) {
             c.close();
         }
-        await("served again", () -> {
-            try {
-                return caller().send(Caller.prompt("b", "{}")).readTo("\n").startsWith("HTTP/1.1 200 ");
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
+        await("served again", () -> ask(Caller.prompt("b", "{}")).startsWith("HTTP/1.1 200 "));
     }
 }
