--- a/src/test/java/streamproxy/stories/RouterStories.java
+++ b/src/test/java/streamproxy/stories/RouterStories.java
@@ -220,6 +220,23 @@
         assertEquals(before, first.attempts.size() + second.attempts.size());
     }
 
+    @Test public void aBoxListThatSaysNothingIsAskedAgain() throws Exception {
+        Deployment deployment = routerOver(box(SERVES)); // its watch is answered, but no line comes, as from a cut-off machine
+        assertNotNull("the first watch", deployment.list.attempts.poll(15, TimeUnit.SECONDS));
+        assertNotNull("the second watch", deployment.list.attempts.poll(15, TimeUnit.SECONDS));
+    }
+
+    @Test public void aBoxThatNeverAnswersIsLeftInTimeAndTheClientToldWhenToComeBack() throws Exception {
+        CountDownLatch ended = new CountDownLatch(1);
+        routerOver(box(e -> {
+            e.awaitClose();
+            ended.countDown();
+        }));
+        String answer = caller().send(Caller.prompt("a1", "{}")).readTo("refused");
+        assertTrue(answer, answer.startsWith("HTTP/1.1 503 ") && answer.contains("\r\nRetry-After: 2.000\r\n"));
+        assertTrue("the attempt's connection is closed", ended.await(5, TimeUnit.SECONDS));
+    }
+
     @Test public void leavingFinishesWhatWasTakenAndTakesWhatStillComes() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         ScriptedBox box = box(e -> {
