Cover streams past the deadline and attempts that wait while their box drains

Each was checked to fail with its line undone: ModuleActor.timeOut without the phase check, BoxConnection.carry without the look at the box's state.

--- /dev/null
+++ b/src/test/java/streamproxy/routing/ModelBoxStories.java
@@ -0,0 +1,74 @@
+package streamproxy.routing;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.junit.Test;
+import streamproxy.protocol.BoxEntry;
+import streamproxy.protocol.PassedOn;
+import streamproxy.protocol.PromptHeaders;
+import streamproxy.transport.Budget;
+
+/** A model box's actor by itself, with what cannot be timed from outside. */
+public class ModelBoxStories {
+    private static final long SECOND = 1_000_000_000L;
+    private static final String SETTINGS = """
+            Balancers=1
+            Classes.count=1
+            Classes.0.GiveUp=4000000000
+            Classes.0.Idempotency=safe
+            Discovery=pushed
+            Guarantees.Fall=1000000000
+            Guarantees.RampTime=20000000000
+            Guarantees.StartCapacity=0.14
+            Guarantees.StopSendingWithin=250000000
+            Guarantees.TipMultiple=3.0
+            Limits.ConnectTimeout=1000000000
+            Limits.Keepalive=5000000000
+            Limits.MaxAttempts=3
+            Me=0
+            """;
+
+    private final Clock clock = new Clock();
+
+    private Attempt attempt(String id) {
+        PromptHeaders prompt = new PromptHeaders(id, "c", "", 1, 4 * SECOND, 0, 10, 0, 10, false);
+        Request request = new Request(prompt, 0, 0, new PassedOn("POST", "/", id, new byte[2]), null, clock.now());
+        return new Attempt(request, 0, 7, clock.now(), clock.now() + 4 * SECOND);
+    }
+
+    /** An attempt waits in a mailbox or for its connection; a box told draining meanwhile must not get it. */
+    @Test public void aWaitingAttemptIsNotWrittenToABoxToldDrainingMeanwhile() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            SettingsText text = new SettingsText(SETTINGS);
+            Budget budget = new Budget(100);
+            ModelBoxes boxes = new ModelBoxes(text, budget, clock);
+            ModuleActor module = new ModuleActor(text, 1, clock, boxes);
+            BoxEntry entry = new BoxEntry("s-1", (InetSocketAddress) server.getLocalSocketAddress(), "", "", 0, "ready", 1, 0);
+            ModelBox box = new ModelBox(7, entry, text.deployment(), text.reportLayout(), budget, clock, module);
+            box.told(entry, true);
+            Attempt waiting = attempt("early");
+            assertTrue(box.send(waiting));
+            box.told(entry, false);
+            box.start();
+            try (Socket socket = server.accept()) {
+                socket.setSoTimeout(10_000);
+                for (long until = System.nanoTime() + 10 * SECOND; !waiting.isOver();) {
+                    assertTrue("not in time", System.nanoTime() < until);
+                    TimeUnit.MILLISECONDS.sleep(5);
+                }
+                box.told(entry, true);
+                assertTrue(box.send(attempt("later")));
+                String head = new String(socket.getInputStream().readNBytes(70));
+                assertEquals("only the later one is written: " + head, -1, head.indexOf("early"));
+                assertTrue(head, head.contains("Req-Id: later"));
+            }
+            box.retire();
+        }
+    }
+}
--- a/src/test/java/streamproxy/stories/RouterStories.java
+++ b/src/test/java/streamproxy/stories/RouterStories.java
@@ -130,6 +130,20 @@
         assertTrue("answered within the class's aim", System.nanoTime() - from < 2_900_000_000L);
     }
 
+    /** With the first event the deadline is off: the attempt's time-out must not cut its stream. */
+    @Test public void aStreamThatRunsPastTheDeadlineStaysWhole() throws Exception {
+        CountDownLatch cut = new CountDownLatch(1);
+        routerOver(box(e -> {
+            e.streamHead();
+            e.chunk(ONE);
+            assertFalse(cut.await(700, TimeUnit.MILLISECONDS)); // the time that this story is about
+            e.chunk(DONE);
+            e.write("0\r\n\r\n");
+        }));
+        String answer = caller().send(Caller.prompt("a1", "{}").replace("3.000", "0.300")).readTo("0\r\n\r\n");
+        assertTrue(answer, answer.contains(chunk(ONE) + chunk(DONE)));
+    }
+
     @Test public void aBrokenStreamClosesTheClientsConnectionWithoutTheLastChunk() throws Exception {
         routerOver(box(e -> {
             e.streamHead();
