End the connections of a box that leaves the list while attempts are out

Read through for leaks: a connection in use while its box was dropped from the list went back to the pool of an actor that had stopped, and kept its thread and descriptor for ever (ModelBox.idle, take of Retire). The story failed before (the box waited 5 s for the close) and passes now. The module's actor no longer waits for room to retire a box, and attempts still in that box's mailbox come back as moot at once.

--- a/src/main/java/streamproxy/routing/Actor.java
+++ b/src/main/java/streamproxy/routing/Actor.java
@@ -27,6 +27,8 @@
     /** Leaves a message without waiting; false where the mailbox is full. */
     final boolean offer(M message) { return mailbox.offer(message); }
 
+    final boolean isEmpty() { return mailbox.isEmpty(); }
+
     /** Leaves a message, waiting while the mailbox is full. Not for actors, who would wait for each other. */
     final void put(M message) {
         try {
--- a/src/main/java/streamproxy/routing/BoxConnection.java
+++ b/src/main/java/streamproxy/routing/BoxConnection.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import streamproxy.protocol.EventStream;
 import streamproxy.protocol.HttpHead;
@@ -66,7 +67,7 @@
 
     private void run() {
         try {
-            for (Errand errand = errands.take(); errand != DISMISS; errand = errands.take()) {
+            for (Errand errand = next(); errand != DISMISS; errand = next()) {
                 boolean keep = errand.attempt == null ? probe(errand.probeAt) : carry(errand.attempt);
                 if (!keep || connection.isClosed()) {
                     return;
@@ -81,6 +82,12 @@
         }
     }
 
+    /** The next errand. Well after the pool has given the connection up, it ends even if nobody dismisses it. */
+    private Errand next() throws InterruptedException {
+        Errand errand = errands.poll(2 * box.deployment.keepaliveNs(), TimeUnit.NANOSECONDS);
+        return errand == null ? DISMISS : errand;
+    }
+
     private void connect() throws IOException {
         if (!connected) {
             connection.connect(to, box.deployment.connectTimeoutNs());
--- a/src/main/java/streamproxy/routing/ModelBox.java
+++ b/src/main/java/streamproxy/routing/ModelBox.java
@@ -44,7 +44,7 @@
     private volatile boolean ready;
     private final ArrayDeque<BoxConnection> idle = new ArrayDeque<>(); // the last used first
     private long sweepAt;
-    private boolean retired;
+    private volatile boolean retired;
 
     ModelBox(long id, BoxEntry entry, SettingsText.Deployment deployment, ReportLayout layout,
             Budget budget, Clock clock, ModuleActor module) {
@@ -66,7 +66,8 @@
 
     void retire() {
         ready = false;
-        put(new Retire());
+        retired = true;
+        offer(new Retire()); // only wakes it: where the mailbox is full it is awake
     }
 
     boolean ready() { return ready; }
@@ -77,28 +78,25 @@
 
     boolean probe() { return offer(new Probe(clock.now())); }
 
-    void idle(BoxConnection connection) { put(new Idle(connection)); }
+    void idle(BoxConnection connection) {
+        if (retired) {
+            connection.dismiss(); // nobody would read that message any more, and the connection would stay for ever
+        } else {
+            put(new Idle(connection));
+        }
+    }
 
     @Override void take(Message message) {
         if (message instanceof Send m) {
-            if (!m.attempt.isOver() && !give(new BoxConnection.Errand(m.attempt, 0))) {
+            if (!m.attempt.isOver() && (retired || !give(new BoxConnection.Errand(m.attempt, 0)))) {
                 module.over(m.attempt, Outcome.MOOT, 0, null); // our own want of descriptors is no fault of the box
             }
         } else if (message instanceof Probe m) {
-            if (!give(new BoxConnection.Errand(null, m.at))) {
+            if (retired || !give(new BoxConnection.Errand(null, m.at))) {
                 module.probed(id, Outcome.CONNECT_FAILED, clock.now() - m.at, null);
             }
         } else if (message instanceof Idle m) {
-            if (retired) {
-                m.connection.dismiss();
-            } else {
-                idle.push(m.connection);
-            }
-        } else if (message instanceof Retire) {
-            retired = true;
-            idle.forEach(BoxConnection::dismiss);
-            idle.clear();
-            stop();
+            idle.push(m.connection);
         }
     }
 
@@ -136,6 +134,11 @@
     }
 
     @Override void onTime() {
+        if (retired && isEmpty()) {
+            idle.forEach(BoxConnection::dismiss);
+            idle.clear();
+            stop();
+        }
         if (clock.now() >= sweepAt) {
             sweepAt = clock.now() + SWEEP;
             for (Iterator<BoxConnection> i = idle.iterator(); i.hasNext();) {
--- a/src/test/java/streamproxy/routing/ModelBoxStories.java
+++ b/src/test/java/streamproxy/routing/ModelBoxStories.java
@@ -67,8 +67,14 @@
                 String head = new String(socket.getInputStream().readNBytes(70));
                 assertEquals("only the later one is written: " + head, -1, head.indexOf("early"));
                 assertTrue(head, head.contains("Req-Id: later"));
+                // Its box leaves the list while an attempt is out: the connection must end with it, not stay for ever.
+                box.retire();
+                socket.getInputStream().readNBytes(socket.getInputStream().available());
+                socket.getOutputStream().write(("HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+                        .getBytes());
+                socket.setSoTimeout(5_000);
+                assertEquals("closed", 0, socket.getInputStream().readAllBytes().length);
             }
-            box.retire();
         }
     }
 }
