--- a/src/main/java/streamproxy/routing/ModelBox.java
+++ b/src/main/java/streamproxy/routing/ModelBox.java
@@ -30,7 +30,7 @@
     /** How often the idle connections are looked at. */
     private static final long SWEEP = 200_000_000L;
     /** Share of the box's own time for idle connections after which ours are closed: never write to a closing one. */
-    private static final double KEEP = 0.7;
+    private static final double KEEP = 0.9;
     /** Descriptors kept free for clients, so that the boxes' connections cannot shut them out. */
     private static final int SPARE = 64;
 
