Close clients' connections without a request, the longest idle first where places are short

The router's log held no error. Checked: memory (90 of 160 MB) and CPU (0.45 of a core at most) were not the limit; descriptors were, at the budget. Lines at fault: ClientConnection.IDLE (300 s) and PART (10 s, for head and body each), Router's `crowded`, which counted connections without a request, and one budget for both clients and boxes. Now: 2 s for one that says nothing, 3 s idle, 2.5 s for head and body together; the connection best spared makes room; clients and boxes have a budget each. An id taken lately is a 409; of what nobody wants little is read, slowly.

--- a/src/main/java/streamproxy/program/Router.java
+++ b/src/main/java/streamproxy/program/Router.java
@@ -2,19 +2,18 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import org.tinylog.Logger;
 import streamproxy.protocol.BoxEntry;
 import streamproxy.protocol.NodeConfig;
 import streamproxy.routing.BoxList;
 import streamproxy.routing.ClientConnection;
+import streamproxy.routing.ClientConnections;
 import streamproxy.routing.Clock;
 import streamproxy.routing.ModelBoxes;
 import streamproxy.routing.ModuleActor;
 import streamproxy.routing.Routing;
 import streamproxy.routing.SettingsText;
-import streamproxy.transport.Connection;
+import streamproxy.routing.TakenIds;
 import streamproxy.transport.Budget;
 import streamproxy.transport.Listener;
 import streamproxy.transport.Threads;
@@ -23,6 +22,8 @@
 public final class Router implements AutoCloseable {
     /** Descriptors that the JVM itself holds: its files, pipes and the listener. */
     private static final int OWN_DESCRIPTORS = 64;
+    /** Calls of the box list that may be open at a time; their descriptors are among the program's own. */
+    private static final int LIST_CALLS = 8;
     /**
      * What the program takes with few connections and a full heap, and what each connection adds with its thread:
      * measured 49 MB at its start, 148 MB with 605 connections in use. More than fit in the memory are not held.
@@ -34,18 +35,17 @@
     private static final long LOOK_MS = 10;
     /** How often clients that do not read are looked for. */
     private static final long ROUND_MS = 1000;
-    /** Share of the descriptors that clients may hold; the rest is for the model boxes that serve them. */
-    private static final double CLIENTS_SHARE = 0.55;
+    /** Share of the connections that clients may hold; the rest is for the model boxes that serve them. */
+    private static final double CLIENTS_SHARE = 0.5;
     /** Share of the heap that the bodies of requests in work may hold. */
     private static final double BODIES_SHARE = 0.35;
 
     private final Lifecycle lifecycle = new Lifecycle();
-    private final Set<ClientConnection> clients = ConcurrentHashMap.newKeySet();
+    private final ClientConnections clients;
     private final ModuleActor module;
     private final BoxList list;
     private final BoxEntry.News known;
     private final Listener listener;
-    private final ClientConnection.Desk desk;
 
     public Router(NodeConfig config) throws IOException {
         Clock clock = new Clock();
@@ -56,17 +56,19 @@
         if (places <= 0) {
             throw new IllegalArgumentException("NODE_CONFIG: limits leave no room for connections");
         }
-        Budget budget = new Budget(places);
+        // Two budgets: neither clients nor model boxes can take the places that the others need.
+        Budget clientPlaces = new Budget((int) (CLIENTS_SHARE * places));
+        Budget boxPlaces = new Budget(places - clientPlaces.left());
         Budget bodyBytes = new Budget((int) Math.min(Integer.MAX_VALUE,
                 BODIES_SHARE * Runtime.getRuntime().maxMemory()));
-        ModelBoxes boxes = new ModelBoxes(text, budget, clock);
+        ModelBoxes boxes = new ModelBoxes(text, boxPlaces, clock);
         module = new ModuleActor(text, config.seed(), clock, boxes);
         boxes.reportTo(module);
-        list = new BoxList(config.discovery(), budget, module);
-        desk = new ClientConnection.Desk(module, clock, settings.classes().stream().map(c -> c.name()).toList(),
-                text.deployment().tenants(), bodyBytes, () -> lifecycle.ready() && module.knowsBoxes(),
-                lifecycle::leaving, () -> clients.size() > CLIENTS_SHARE * places);
-        listener = new Listener(config.listen(), budget, this::take);
+        list = new BoxList(config.discovery(), new Budget(LIST_CALLS), module);
+        clients = new ClientConnections(new ClientConnection.Desk(module, clock,
+                settings.classes().stream().map(c -> c.name()).toList(), text.deployment().tenants(), bodyBytes,
+                new TakenIds(), () -> lifecycle.ready() && module.knowsBoxes(), lifecycle::leaving));
+        listener = new Listener(config.listen(), clientPlaces, clients::take, clients::makeRoom);
     }
 
     public void start() {
@@ -81,28 +83,11 @@
 
     public Lifecycle lifecycle() { return lifecycle; }
 
-    private void take(Connection connection) {
-        ClientConnection client = new ClientConnection(connection, desk);
-        clients.add(client);
-        try {
-            Threads.start("client", () -> {
-                try {
-                    client.run();
-                } finally {
-                    clients.remove(client);
-                }
-            });
-        } catch (OutOfMemoryError e) { // no thread to be had
-            clients.remove(client);
-            throw e;
-        }
-    }
-
     private void makeRounds() {
         try {
             while (true) {
                 Thread.sleep(ROUND_MS);
-                clients.forEach(ClientConnection::closeIfStalled);
+                clients.closeStalled();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -117,8 +102,7 @@
         Thread.sleep(GRACE_MS);
         lifecycle.enter(Lifecycle.Phase.FINISHING);
         listener.close();
-        while (!clients.isEmpty()) {
-            clients.forEach(ClientConnection::closeIfIdle);
+        while (!clients.closeWaiting()) {
             Thread.sleep(LOOK_MS);
         }
         lifecycle.enter(Lifecycle.Phase.STOPPED);
--- a/src/main/java/streamproxy/protocol/HttpReader.java
+++ b/src/main/java/streamproxy/protocol/HttpReader.java
@@ -23,13 +23,10 @@
 
     public HttpReader(Connection from) { this.from = from; }
 
-    /** Reads a request's head; null where the client closed before one began. */
-    public HttpHead request(long idleNs, long wholeNs) throws IOException {
-        if (!from.awaitByte(idleNs)) {
-            return null;
-        }
+    /** Reads a request's head, whole by that time of {@link System#nanoTime}. */
+    public HttpHead request(long by) throws IOException {
         try {
-            return requestHead(wholeNs);
+            return requestHead(by - System.nanoTime());
         } catch (SocketTimeoutException e) {
             throw new BadMessage(408, "the head takes too long");
         }
@@ -137,9 +134,9 @@
         return Integer.parseInt(length);
     }
 
-    /** Reads a whole body of at most {@link #MOST_BODY} bytes within so long. */
-    public byte[] body(HttpHead head, long wholeNs) throws IOException {
-        readBy = System.nanoTime() + wholeNs;
+    /** Reads a whole body of at most {@link #MOST_BODY} bytes by that time of {@link System#nanoTime}. */
+    public byte[] body(HttpHead head, long by) throws IOException {
+        readBy = by;
         int size = bodySize(head);
         try {
             if (head.chunked()) {
--- a/src/main/java/streamproxy/protocol/HttpWriter.java
+++ b/src/main/java/streamproxy/protocol/HttpWriter.java
@@ -12,7 +12,8 @@
     private static final byte[] LAST_CHUNK = ascii("0\r\n\r\n");
     private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
             Map.entry(400, "Bad Request"), Map.entry(404, "Not Found"), Map.entry(405, "Method Not Allowed"),
-            Map.entry(408, "Request Timeout"), Map.entry(411, "Length Required"),
+            Map.entry(408, "Request Timeout"), Map.entry(409, "Conflict"),
+            Map.entry(411, "Length Required"),
             Map.entry(413, "Content Too Large"), Map.entry(431, "Request Header Fields Too Large"),
             Map.entry(500, "Internal Server Error"), Map.entry(501, "Not Implemented"),
             Map.entry(502, "Bad Gateway"), Map.entry(503, "Service Unavailable"),
--- a/src/main/java/streamproxy/routing/BoxConnection.java
+++ b/src/main/java/streamproxy/routing/BoxConnection.java
@@ -116,7 +116,7 @@
             HttpHead head = reader.answer(left + BEYOND);
             LoadReport report = report(head.get("Srv-Load"));
             if (head.status() != 200 || !head.chunked()) {
-                reader.body(head, REST);
+                reader.body(head, System.nanoTime() + REST);
                 boolean declined = "1".equals(head.get("Srv-Declined"));
                 box.module.over(attempt, declined ? Outcome.FULL : Outcome.ERROR, 0, report);
                 return !head.closes();
@@ -188,7 +188,7 @@
             writer.get("/status/load", to.getHostString() + ":" + to.getPort());
             written = true;
             HttpHead head = reader.answer(PROBE_WAIT);
-            String body = new String(reader.body(head, PROBE_WAIT), StandardCharsets.UTF_8);
+            String body = new String(reader.body(head, System.nanoTime() + PROBE_WAIT), StandardCharsets.UTF_8);
             outcome = head.status() == 200 ? Outcome.OK : Outcome.ERROR;
             report = report(body);
             keep = !head.closes();
--- a/src/main/java/streamproxy/routing/BoxList.java
+++ b/src/main/java/streamproxy/routing/BoxList.java
@@ -132,7 +132,7 @@
                 throw new IOException("status " + head.status());
             }
             if (!watching || !head.chunked()) {
-                heard(new String(reader.body(head, SILENCE), StandardCharsets.UTF_8));
+                heard(new String(reader.body(head, System.nanoTime() + SILENCE), StandardCharsets.UTF_8));
                 return;
             }
             reader.startChunks();
--- a/src/main/java/streamproxy/routing/ClientConnection.java
+++ b/src/main/java/streamproxy/routing/ClientConnection.java
@@ -1,11 +1,13 @@
 package streamproxy.routing;
 
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.tinylog.Logger;
 import streamproxy.protocol.BadMessage;
@@ -24,19 +26,30 @@
 public final class ClientConnection implements Client {
     /** What all client connections of the program share. */
     public record Desk(ModuleActor module, Clock clock, List<String> classes, List<String> tenants,
-            Budget bodyBytes, BooleanSupplier ready, BooleanSupplier leaving, BooleanSupplier crowded) { }
+            Budget bodyBytes, TakenIds taken, BooleanSupplier ready, BooleanSupplier leaving) { }
 
     private enum Kind { EVENT, ENDED, BROKEN, REFUSED, FAILED }
 
+    /** What the connection is at: it may be spared while it WAITS for a request, hardly while one is being READ. */
+    private enum Phase { WAITING, READING, IN_WORK, SPARED }
+
     private record Letter(Kind kind, byte[] event, long retryAfterNs) { }
 
     private static final String LATER = "Retry-After: 1";
     private static final String PATH = "/v1/chat/completions";
     private static final long MS = 1_000_000L;
     private static final double SECOND = 1e9;
-    /** A client may keep a connection idle so long, and take so long over one part of a message. */
-    private static final long IDLE = 300_000 * MS;
-    private static final long PART = 10_000 * MS;
+    /**
+     * A client that says nothing after it has connected is closed, and one whose first request is not whole is told
+     * so, within 3 s of connecting; later a request has as long from its first byte on. Each is one limit for head
+     * and body together: a byte now and then must not hold a place for ever.
+     */
+    private static final long MUTE = 2_000 * MS;
+    private static final long WHOLE = 2_500 * MS;
+    /** A connection without a request is closed after so long: some clients ask once and never close theirs. */
+    private static final long IDLE = 3_000 * MS;
+    /** Under pressure a request that has been coming for so long is given up for others. */
+    private static final long SLOW = 500 * MS;
     /** How often the client's side is looked at while its request waits. */
     private static final long LOOK = 50 * MS;
     /** Events that wait for a slow client, and how long they may. */
@@ -50,8 +63,11 @@
     private final HttpReader reader;
     private final HttpWriter writer;
     private final BlockingQueue<Letter> mailbox = new ArrayBlockingQueue<>(MAILBOX);
+    private final long connectedAt = System.nanoTime();
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.WAITING);
+    private volatile long phaseAt = connectedAt;
+    private volatile boolean served;
     private volatile boolean gone;
-    private volatile boolean busy;
 
     public ClientConnection(Connection connection, Desk desk) {
         this.connection = connection;
@@ -60,11 +76,37 @@
         writer = new HttpWriter(connection);
     }
 
-    /** Closes the connection if no request is in work on it. */
-    public void closeIfIdle() {
-        if (!busy) {
+    /** Closes the connection if no request has come on it; false where one has. */
+    boolean closeIfWaiting() { return !connection.hasArrived() && spare(Phase.WAITING); }
+
+    /**
+     * How gladly this connection is closed for the sake of others, the most willing first: one that was served and
+     * waits loses nothing, one that has not asked yet may be about to, and one whose request is slow to come may be
+     * the only one left. Negative where it must stay.
+     */
+    long spareable() {
+        long since = System.nanoTime() - phaseAt;
+        return switch (phase.get()) {
+            case WAITING -> connection.hasArrived() ? -1 : served ? 2 * WHOLE + since : since;
+            case READING -> since < SLOW ? -1 : 0;
+            default -> -1;
+        };
+    }
+
+    /** Closes the connection for the sake of others; false where it has got something to do meanwhile. */
+    boolean spareFor() { return closeIfWaiting() || System.nanoTime() - phaseAt >= SLOW && spare(Phase.READING); }
+
+    private boolean spare(Phase from) {
+        boolean spared = phase.compareAndSet(from, Phase.SPARED);
+        if (spared) {
             connection.close();
         }
+        return spared;
+    }
+
+    private boolean enter(Phase from, Phase to) {
+        phaseAt = System.nanoTime();
+        return phase.compareAndSet(from, to);
     }
 
     /** Closes the connection of a client that does not read its answer; else it would hold its thread for ever. */
@@ -78,7 +120,9 @@
     public void run() {
         try {
             while (serveOne()) {
-                busy = false;
+                served = true;
+                phaseAt = System.nanoTime();
+                phase.set(Phase.WAITING);
             }
         } catch (BadMessage e) {
             reject(e);
@@ -102,11 +146,11 @@
     }
 
     private boolean serveOne() throws IOException, InterruptedException {
-        HttpHead head = reader.request(IDLE, PART);
-        if (head == null) {
+        if (!awaitRequest() || !enter(Phase.WAITING, Phase.READING)) {
             return false;
         }
-        busy = true;
+        long by = served ? phaseAt + WHOLE : connectedAt + WHOLE;
+        HttpHead head = reader.request(by);
         boolean prompt = head.path().equals(PATH);
         if (!prompt && !head.path().equals("/ready")) {
             throw new BadMessage(404, "no such path");
@@ -118,33 +162,49 @@
             throw new BadMessage(411, "no length");
         }
         if (!prompt) {
-            reader.body(head, PART);
+            reader.body(head, by);
             boolean ready = desk.ready.getAsBoolean();
             return say(ready ? 200 : 503, ready ? "ready" : "not ready", head);
         }
         int size = reader.bodySize(head);
-        if (desk.crowded.getAsBoolean() || !desk.bodyBytes.tryTake(size, 0)) {
-            // Short of descriptors or memory: turned away before its body takes any.
+        PromptHeaders prompted = PromptHeaders.read(head);
+        int clazz = desk.classes.indexOf(prompted.clazz());
+        if (clazz < 0) {
+            throw new BadMessage(400, "Req-Kind is unknown");
+        }
+        if (!desk.bodyBytes.tryTake(size, 0)) {
+            // Short of memory: turned away before its body takes any.
             say(503, "too much at once", head, LATER);
             connection.closeGently(PARTING);
             return false;
         }
         try {
-            return takeOn(head);
+            return takeOn(head, prompted, clazz, by);
         } finally {
             desk.bodyBytes.giveBack(size);
         }
     }
 
-    private boolean takeOn(HttpHead head) throws IOException, InterruptedException {
+    /** Waits for the first byte of a request; false where the client has closed, or has kept still for too long. */
+    private boolean awaitRequest() throws IOException {
+        try {
+            return connection.awaitByte(served ? IDLE : Math.max(1, connectedAt + MUTE - System.nanoTime()));
+        } catch (SocketTimeoutException e) {
+            return connection.look() == Connection.Look.DATA; // one that came at the last moment is read
+        }
+    }
+
+    private boolean takeOn(HttpHead head, PromptHeaders prompted, int clazz, long by)
+            throws IOException, InterruptedException {
         if ("100-continue".equalsIgnoreCase(head.get("Expect"))) {
             writer.goOn();
         }
-        byte[] body = reader.body(head, PART);
-        PromptHeaders prompted = PromptHeaders.read(head);
-        int clazz = desk.classes.indexOf(prompted.clazz());
-        if (clazz < 0) {
-            throw new BadMessage(400, "Req-Kind is unknown");
+        byte[] body = reader.body(head, by);
+        if (!enter(Phase.READING, Phase.IN_WORK)) {
+            return false;
+        }
+        if (!desk.taken.add(prompted.id())) {
+            throw new BadMessage(409, "Req-Id is taken"); // a box would see a second copy of that request
         }
         Request request = new Request(prompted, clazz, Math.max(0, desk.tenants.indexOf(prompted.tenant())),
                 new PassedOn(head.method(), head.target(), prompted.id(), body), this, desk.clock.now());
--- a/src/main/java/streamproxy/routing/ModelBox.java
+++ b/src/main/java/streamproxy/routing/ModelBox.java
@@ -31,8 +31,6 @@
     private static final long SWEEP = 200_000_000L;
     /** Share of the box's own time for idle connections after which ours are closed: never write to a closing one. */
     private static final double KEEP = 0.9;
-    /** Descriptors kept free for clients, so that the boxes' connections cannot shut them out. */
-    private static final int SPARE = 64;
 
     final long id;
     final SettingsText.Deployment deployment;
@@ -109,7 +107,7 @@
             }
             connection.dismiss();
         }
-        if (!budget.tryTake(1, SPARE)) {
+        if (!budget.tryTake(1, 0)) {
             return false;
         }
         Connection opened = null;
--- a/src/main/java/streamproxy/transport/Connection.java
+++ b/src/main/java/streamproxy/transport/Connection.java
@@ -6,6 +6,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
@@ -17,6 +18,9 @@
     public enum Look { QUIET, DATA, CLOSED }
 
     private static final int BUFFER = 8 * 1024;
+    /** So much of what nobody wants is read at full speed, and the rest a buffer at a time with pauses. */
+    private static final int UNWANTED = 64 * 1024;
+    private static final long PACE_MS = 20;
 
     private final SocketChannel channel;
     private final Budget budget;
@@ -96,6 +100,15 @@
         }
     }
 
+    /** Whether bytes have come that nobody has read yet; unlike {@link #look} it may be asked while another reads. */
+    public boolean hasArrived() {
+        try {
+            return channel.socket().getInputStream().available() > 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     public void write(byte[] bytes, int at, int length) throws IOException {
         OutputStream out = channel.socket().getOutputStream();
         writingSince = System.nanoTime() | 1;
@@ -121,17 +134,25 @@
 
     /**
      * Closes after the peer has had time to read what was written: closing at once over bytes that nobody read
-     * resets the connection, and the last answer may be lost with it.
+     * resets the connection, and the last answer may be lost with it. Of a peer that sends on and on little is read,
+     * slowly: the rest stays with it.
      */
     public void closeGently(long waitNs) {
         long until = System.nanoTime() + waitNs;
+        int read = 0;
         try {
             channel.shutdownOutput();
             do {
+                read += end;
                 next = end; // what still comes is not wanted
+                if (read > UNWANTED) {
+                    TimeUnit.MILLISECONDS.sleep(PACE_MS);
+                }
             } while (System.nanoTime() < until && fill(Math.max(1, until - System.nanoTime())));
         } catch (IOException e) {
             // the peer has gone already
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
         close();
     }
--- a/src/main/java/streamproxy/transport/Listener.java
+++ b/src/main/java/streamproxy/transport/Listener.java
@@ -6,6 +6,7 @@
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
 
@@ -17,10 +18,14 @@
     private final ServerSocketChannel server;
     private final Budget budget;
     private final Consumer<Connection> takes;
+    private final BooleanSupplier makesRoom;
 
-    public Listener(InetSocketAddress at, Budget budget, Consumer<Connection> takes) throws IOException {
+    /** Where the budget has no place left, one is asked of {@code makesRoom}, which tells whether it has freed one. */
+    public Listener(InetSocketAddress at, Budget budget, Consumer<Connection> takes, BooleanSupplier makesRoom)
+            throws IOException {
         this.budget = budget;
         this.takes = takes;
+        this.makesRoom = makesRoom;
         server = ServerSocketChannel.open();
         server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         server.bind(at, BACKLOG);
@@ -33,7 +38,9 @@
     private void run() {
         while (server.isOpen()) {
             if (!budget.tryTake(1, 0)) {
-                pause(); // the backlog holds what comes until a place is free
+                if (!makesRoom.getAsBoolean()) {
+                    pause(); // the backlog holds what comes until a place is free
+                }
                 continue;
             }
             SocketChannel channel = null;
