Reload on SIGHUP: move the box list's watch to the discovery that the file names

Checked: the run command execs, so the JVM itself got the signal; no handler was set, so SIGHUP ran the shutdown hook. Lines at fault: Main.serve sets no handler; BoxList.discovery is final, and its version would go to another service. Now: RELOADING is a phase; the main thread reads the file; the box list's actor asks the new service for the whole list, then follows it, hearing the old watch meanwhile. A bad file is logged and changes nothing.

--- a/src/main/java/streamproxy/program/Lifecycle.java
+++ b/src/main/java/streamproxy/program/Lifecycle.java
@@ -2,10 +2,13 @@
 
 import org.tinylog.Logger;
 
-/** The program's phases, from start to exit. They follow one another in this order; none comes back. */
+/**
+ * The program's phases, from start to exit. They follow one another in this order; none comes back, but for
+ * RELOADING, which ends in SERVING again unless the program is leaving by then.
+ */
 public final class Lifecycle {
-    /** Where the program is: only SERVING is ready, and both it and LEAVING take new connections. */
-    public enum Phase { STARTING, SERVING, LEAVING, FINISHING, STOPPED }
+    /** Where the program is: SERVING and RELOADING are ready, and both and LEAVING take new connections. */
+    public enum Phase { STARTING, SERVING, RELOADING, LEAVING, FINISHING, STOPPED }
 
     private Phase phase = Phase.STARTING;
 
@@ -16,13 +19,37 @@
         if (next.compareTo(phase) <= 0) {
             return false;
         }
+        become(next);
+        return true;
+    }
+
+    /** Reads the configuration anew with {@code reading}; not before the program serves, nor once it leaves. */
+    public boolean reload(Runnable reading) {
+        synchronized (this) {
+            if (phase != Phase.SERVING) {
+                return false;
+            }
+            become(Phase.RELOADING);
+        }
+        try {
+            reading.run();
+        } finally {
+            synchronized (this) {
+                if (phase == Phase.RELOADING) {
+                    become(Phase.SERVING);
+                }
+            }
+        }
+        return true;
+    }
+
+    private void become(Phase next) {
         Logger.info("{} after {}", next, phase);
         phase = next;
-        return true;
     }
 
-    public boolean ready() { return phase() == Phase.SERVING; }
+    public boolean ready() { return phase() == Phase.SERVING || phase() == Phase.RELOADING; }
 
     /** Answers close their connections from now on. */
-    public boolean leaving() { return phase().compareTo(Phase.SERVING) > 0; }
+    public boolean leaving() { return phase().compareTo(Phase.RELOADING) > 0; }
 }
--- a/src/main/java/streamproxy/program/Main.java
+++ b/src/main/java/streamproxy/program/Main.java
@@ -1,6 +1,7 @@
 package streamproxy.program;
 
 import java.io.IOException;
+import java.util.concurrent.Semaphore;
 import org.tinylog.Logger;
 import streamproxy.benchlink.BenchLink;
 import streamproxy.protocol.NodeConfig;
@@ -26,6 +27,8 @@
     }
 
     private static void serve() {
+        Semaphore hangUps = new Semaphore(0);
+        HangUp.then(hangUps::release); // first of all: unhandled, SIGHUP ends a JVM
         Router router;
         try {
             router = new Router(NodeConfig.read(System.getenv()));
@@ -46,7 +49,11 @@
         }, "leaving"));
         router.start();
         try {
-            Thread.currentThread().join(); // the daemon threads do the work, until a signal ends the program
+            while (true) { // other threads do the work, until a signal ends the program
+                hangUps.acquire();
+                hangUps.drainPermits(); // what is read now is as new as the last of them wants
+                router.reload(() -> NodeConfig.discoveryInFile(System.getenv()));
+            }
         } catch (InterruptedException e) {
             Logger.info("interrupted");
         }
--- a/src/main/java/streamproxy/program/Router.java
+++ b/src/main/java/streamproxy/program/Router.java
@@ -94,6 +94,26 @@
         }
     }
 
+    /** Where the box list is told, as the configuration says now. */
+    @FunctionalInterface
+    public interface Discovery {
+        InetSocketAddress read() throws NodeConfig.Unusable;
+    }
+
+    /**
+     * Reads the configuration anew and moves to the box list's address in it. Requests, boxes and the listener stay;
+     * what cannot be used is logged, and all stays as it was.
+     */
+    public void reload(Discovery discovery) {
+        lifecycle.reload(() -> {
+            try {
+                list.moveTo(discovery.read());
+            } catch (NodeConfig.Unusable e) {
+                Logger.error("reload: {}; the old configuration stays", e.getMessage());
+            }
+        });
+    }
+
     /** Goes on taking requests for the grace, then finishes all that was taken. */
     public void leave() throws IOException, InterruptedException {
         if (!lifecycle.enter(Lifecycle.Phase.LEAVING)) {
--- a/src/main/java/streamproxy/protocol/NodeConfig.java
+++ b/src/main/java/streamproxy/protocol/NodeConfig.java
@@ -19,15 +19,7 @@
     }
 
     public static NodeConfig read(Map<String, String> environment) throws Unusable {
-        String file = need(environment, "NODE_CONFIG");
-        Map<String, Object> config;
-        try {
-            config = Json.object(Json.parse(Files.readString(Path.of(file))));
-        } catch (IOException | InvalidPathException e) {
-            throw new Unusable("NODE_CONFIG: cannot read " + file);
-        } catch (Json.Malformed e) {
-            throw new Unusable("NODE_CONFIG: " + e.getMessage());
-        }
+        Map<String, Object> config = file(environment);
         if (!(config.get("settings") instanceof Map)) {
             throw new Unusable("NODE_CONFIG: no settings");
         }
@@ -41,6 +33,23 @@
                 (int) sockets, (int) memory, config.get("known"), settings.toString());
     }
 
+    /** The file that the environment names, read anew: the box list's address in it, which a reload may move. */
+    public static InetSocketAddress discoveryInFile(Map<String, String> environment) throws Unusable {
+        Object told = file(environment).get("discovery");
+        return address("NODE_CONFIG: discovery", Json.string(told, ""));
+    }
+
+    private static Map<String, Object> file(Map<String, String> environment) throws Unusable {
+        String file = need(environment, "NODE_CONFIG");
+        try {
+            return Json.object(Json.parse(Files.readString(Path.of(file))));
+        } catch (IOException | InvalidPathException e) {
+            throw new Unusable("NODE_CONFIG: cannot read " + file);
+        } catch (Json.Malformed e) {
+            throw new Unusable("NODE_CONFIG: " + e.getMessage());
+        }
+    }
+
     private static String need(Map<String, String> environment, String name) throws Unusable {
         String value = environment.get(name);
         if (value == null || value.isBlank()) {
--- a/src/main/java/streamproxy/routing/BoxList.java
+++ b/src/main/java/streamproxy/routing/BoxList.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.OptionalLong;
 import org.tinylog.Logger;
 import streamproxy.protocol.BoxEntry;
 import streamproxy.protocol.HttpHead;
@@ -18,6 +19,9 @@
 /**
  * The actor of the box list: keeps at most one watch, makes single calls, and tells the module what they bring.
  * It never calls again by itself; the module paces that.
+ *
+ * <p>Versions belong to the service that told them. So after a move the whole list is asked for first, and only then
+ * what follows it; the old service's watch is heard until the new one has spoken, so that nothing told is missed.
  */
 public final class BoxList extends Actor<BoxList.Message> {
     /** What the module's actor and the calls tell. */
@@ -29,16 +33,21 @@
 
     private record Failed(Call call) implements Message { }
 
+    private record Moved(InetSocketAddress to) implements Message { }
+
     private static final int MAILBOX = 256;
     private static final String PATH = "/v1/endpoints";
     /** A watch carries at least an empty line every 2 s: without one for so long it has failed. */
     private static final long SILENCE = 5_000_000_000L;
 
-    private final InetSocketAddress discovery;
     private final Budget budget;
     private final ModuleActor module;
-    private long version;
+    private InetSocketAddress discovery;
+    /** The last version that this service told; none since the move to it. */
+    private OptionalLong version = OptionalLong.empty();
     private Call watch;
+    /** After a move: the watch that the old service still answers. */
+    private Call former;
 
     public BoxList(InetSocketAddress discovery, Budget budget, ModuleActor module) {
         super("box list", MAILBOX);
@@ -48,34 +57,79 @@
         module.listFrom(() -> offer(new Ask(true)), () -> offer(new Ask(false)));
     }
 
+    /** The list is told at another address from now on. */
+    public void moveTo(InetSocketAddress address) { put(new Moved(address)); }
+
     /** Starts from the list as this router had it last, which may be old. */
     public void startFrom(BoxEntry.News known) {
-        version = known.version();
+        version = OptionalLong.of(known.version());
         module.listNews(ListForm.CACHED, known.boxes());
         start();
     }
 
     @Override void take(Message message) {
         if (message instanceof Ask m) {
-            Call call = new Call(m.watch ? PATH + "?follow=1&since=" + version : PATH, m.watch);
             if (m.watch) {
-                Call before = watch;
-                watch = call;
-                if (before != null) {
-                    before.close();
-                }
+                follow();
+            } else {
+                call(PATH, false);
             }
-            Threads.start("box list call", call::run);
-        } else if (message instanceof Heard m) {
-            if (m.call == watch || !m.call.watching) {
-                version = m.news.version();
-                module.listNews(m.news.full() ? ListForm.FULL : ListForm.DELTA, m.news.boxes());
+        } else if (message instanceof Moved m) {
+            if (!m.to.equals(discovery)) {
+                Logger.info("the box list is at {} now", m.to);
+                discovery = m.to;
+                version = OptionalLong.empty();
+                former = former == null ? watch : former;
+                watch = null;
+                follow();
             }
+        } else if (message instanceof Heard m) {
+            heard(m);
         } else if (message instanceof Failed m) {
-            if (m.call == watch || !m.call.watching) {
-                watch = m.call == watch ? null : watch;
-                module.listNews(ListForm.FAILED, List.of());
+            failed(m.call);
+        }
+    }
+
+    /** Starts the watch, or, where the service has told nothing yet, asks it for the whole list first. */
+    private void follow() {
+        Call before = watch;
+        watch = version.isPresent() ? call(PATH + "?follow=1&since=" + version.getAsLong(), true) : call(PATH, false);
+        if (before != null) {
+            before.close();
+        }
+    }
+
+    private Call call(String target, boolean watching) {
+        Call call = new Call(discovery, target, watching);
+        Threads.start("box list call", call::run);
+        return call;
+    }
+
+    private void heard(Heard m) {
+        if (m.call == former) {
+            tell(m.news); // its versions mean nothing to the new service
+        } else if (m.call.at.equals(discovery) && (m.call == watch || !m.call.watching)) {
+            version = OptionalLong.of(m.news.version());
+            tell(m.news);
+            if (former != null) {
+                former.close();
+                former = null;
             }
+            if (m.call == watch && !m.call.watching) {
+                follow();
+            }
+        }
+    }
+
+    private void tell(BoxEntry.News news) {
+        module.listNews(news.full() ? ListForm.FULL : ListForm.DELTA, news.boxes());
+    }
+
+    private void failed(Call call) {
+        former = call == former ? null : former; // it was to end anyway
+        if (call == watch || !call.watching && call.at.equals(discovery)) {
+            watch = call == watch ? null : watch;
+            module.listNews(ListForm.FAILED, List.of());
         }
     }
 
@@ -85,12 +139,14 @@
 
     /** One call of discovery on a connection and thread of its own. */
     private final class Call {
+        private final InetSocketAddress at;
         private final String target;
         private final boolean watching;
         private volatile Connection connection;
         private volatile boolean closed;
 
-        Call(String target, boolean watching) {
+        Call(InetSocketAddress at, String target, boolean watching) {
+            this.at = at;
             this.target = target;
             this.watching = watching;
         }
@@ -124,8 +180,8 @@
         }
 
         private void exchange(Connection open) throws IOException {
-            open.connect(discovery, SILENCE);
-            new HttpWriter(open).get(target, discovery.getHostString() + ":" + discovery.getPort());
+            open.connect(at, SILENCE);
+            new HttpWriter(open).get(target, at.getHostString() + ":" + at.getPort());
             HttpReader reader = new HttpReader(open);
             HttpHead head = reader.answer(SILENCE);
             if (head.status() != 200) {
--- a/src/test/java/streamproxy/stories/Deployment.java
+++ b/src/test/java/streamproxy/stories/Deployment.java
@@ -16,6 +16,7 @@
     final ScriptedBox list;
     final Map<String, String> environment;
     private final Path config;
+    private final String told;
 
     Deployment(String listen, int sockets, ScriptedBox... boxes) throws IOException {
         list = new ScriptedBox(this::watch);
@@ -24,14 +25,23 @@
             known.append(i > 0 ? "," : "").append(entry("s-" + i, boxes[i].address(), "ready"));
         }
         config = Files.createTempFile("streamproxy", ".json");
-        Files.writeString(config, "{\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":"
-                + told(1, true, known.toString()) + ",\"settings\":" + SETTINGS + "}");
+        told = "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":"
+                + told(1, true, known.toString()) + ",\"settings\":" + SETTINGS + "}";
+        configure("{" + told);
         environment = Map.of("NODE_NAME", "n0", "NODE_LISTEN", listen, "NODE_DISCOVERY", list.address(),
                 "NODE_CONFIG", config.toString());
     }
 
     static Deployment of(ScriptedBox... boxes) throws IOException { return new Deployment("127.0.0.1:0", 1024, boxes); }
 
+    /** Replaces the configuration, whatever it is. */
+    void configure(String text) throws IOException { Files.writeString(config, text); }
+
+    /** Replaces the configuration by one that names another box list. */
+    void configureDiscovery(String address) throws IOException {
+        configure("{\"discovery\":\"" + address + "\"," + told);
+    }
+
     Router start() throws IOException, NodeConfig.Unusable {
         Router router = new Router(NodeConfig.read(environment));
         router.start();
--- a/src/test/java/streamproxy/stories/ProgramStories.java
+++ b/src/test/java/streamproxy/stories/ProgramStories.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertNotEquals;
 import static org.junit.Assert.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -12,6 +13,7 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.Test;
 import streamproxy.program.Main;
@@ -67,6 +69,59 @@
         }
     }
 
+    /** A new connection to the program, once it is ready. */
+    private static Caller caller(InetSocketAddress at, Process program) throws Exception {
+        awaitReady(at, program);
+        return new Caller(at);
+    }
+
+    private static void hangUp(Process program) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(program.pid())).start().waitFor());
+    }
+
+    /** Unhandled, SIGHUP ends a JVM; and each service's versions are its own. */
+    @Test public void onSighupItMovesToTheBoxListThatItsFileNamesAndKeepsTheOldOneForABadFile() throws Exception {
+        InetSocketAddress at = freeAddress();
+        CountDownLatch go = new CountDownLatch(1);
+        try (ScriptedBox box = new ScriptedBox(e -> {
+                    e.streamHead();
+                    e.chunk("data: hello\n\n");
+                    assertTrue(go.await(10, TimeUnit.SECONDS));
+                    e.write("0\r\n\r\n");
+                });
+                ScriptedBox newcomer = new ScriptedBox(e -> e.stream("data: new\n\n"));
+                ScriptedBox list = new ScriptedBox(e -> {
+                    if (e.head().contains("follow=1")) {
+                        e.streamHead();
+                    } else {
+                        e.answer("200 OK", "", Deployment.told(7, true,
+                                Deployment.entry("s-9", newcomer.address(), "ready")));
+                    }
+                });
+                Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
+            Process program = start(deployment.environment, "serve");
+            try (Caller early = caller(at, program); Caller caller = caller(at, program)) {
+                early.send(Caller.prompt("a1", "{}")).readTo("hello\n\n\r\n");
+                deployment.configure("{\"discovery\":");
+                hangUp(program);
+                BufferedReader log = program.errorReader();
+                for (String line = log.readLine(); !line.contains("the old configuration stays");) {
+                    line = log.readLine();
+                }
+                deployment.configureDiscovery(list.address());
+                hangUp(program);
+                assertTrue(list.attempts.poll(10, TimeUnit.SECONDS).head().startsWith("GET /v1/endpoints HTTP"));
+                assertTrue(list.attempts.poll(10, TimeUnit.SECONDS).head().contains("?follow=1&since=7 "));
+                String answer = caller.send(Caller.prompt("a2", "{}")).readTo("0\r\n\r\n");
+                assertTrue(answer, answer.contains("data: new\n\n"));
+                go.countDown();
+                early.readTo("0\r\n\r\n"); // what was taken before is served to its end
+            } finally {
+                program.destroyForcibly();
+            }
+        }
+    }
+
     /** With more connections than threads fit in, the router would be killed for its memory. */
     @Test public void limitsThatLeaveNoRoomAreSaidAtTheStart() throws Exception {
         try (ScriptedBox box = new ScriptedBox(e -> { });
