Give connections without a request or an errand no thread of their own

Checked: rejections are few (300 a router), the garbage collector and the module idle. A sampling of the processes showed them stopped about 100 times a second from the moment that 385 threads were there, with 0.4 core of kernel time and 0.1 of their own: each stop and start wakes every thread, and that keeps the process over its share. Lines at fault: ClientConnection.run and BoxConnection.run, which hold a thread while they only wait. Now: QuietConnections watches clients' connections with one thread for all; a box's connection has a thread for each errand only. Reading and writing stay blocking. Clients that left are looked for every 100 ms instead of 50.

--- a/src/main/java/streamproxy/program/Router.java
+++ b/src/main/java/streamproxy/program/Router.java
@@ -16,6 +16,7 @@
 import streamproxy.routing.TakenIds;
 import streamproxy.transport.Budget;
 import streamproxy.transport.Listener;
+import streamproxy.transport.QuietConnections;
 import streamproxy.transport.Threads;
 
 /** One router: wires the layers, opens the listener, and leaves in good order. */
@@ -41,6 +42,7 @@
     private static final double BODIES_SHARE = 0.35;
 
     private final Lifecycle lifecycle = new Lifecycle();
+    private final QuietConnections quiet;
     private final ClientConnections clients;
     private final ModuleActor module;
     private final BoxList list;
@@ -65,15 +67,17 @@
         module = new ModuleActor(text, config.seed(), clock, boxes);
         boxes.reportTo(module);
         list = new BoxList(config.discovery(), new Budget(LIST_CALLS), module);
+        quiet = new QuietConnections();
         clients = new ClientConnections(new ClientConnection.Desk(module, clock,
                 settings.classes().stream().map(c -> c.name()).toList(), text.deployment().tenants(), bodyBytes,
-                new TakenIds(), () -> lifecycle.ready() && module.knowsBoxes(), lifecycle::leaving));
+                new TakenIds(), quiet, () -> lifecycle.ready() && module.knowsBoxes(), lifecycle::leaving));
         listener = new Listener(config.listen(), clientPlaces, clients::take, clients::makeRoom);
     }
 
     public void start() {
         list.startFrom(known);
         module.start();
+        quiet.start();
         listener.start();
         Threads.start("rounds", this::makeRounds);
         lifecycle.enter(Lifecycle.Phase.SERVING);
--- a/src/main/java/streamproxy/routing/BoxConnection.java
+++ b/src/main/java/streamproxy/routing/BoxConnection.java
@@ -5,9 +5,6 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import streamproxy.protocol.EventStream;
 import streamproxy.protocol.HttpHead;
@@ -20,7 +17,7 @@
 import streamproxy.transport.Connection;
 import streamproxy.transport.Threads;
 
-/** One connection to a model box and the thread that connects, writes and reads on it, one errand at a time. */
+/** One connection to a model box, and the thread that connects, writes and reads on it while it has an errand. */
 final class BoxConnection {
     /** An attempt to carry, or, where that is null, a probe asked for at that time. */
     record Errand(Attempt attempt, long probeAt) { }
@@ -32,14 +29,12 @@
     /** The module's actor ends an attempt in time; this only keeps a thread from waiting for ever. */
     private static final long BEYOND = 1_000_000_000L;
     private static final double SECOND = 1e9;
-    private static final Errand DISMISS = new Errand(null, -1);
 
     private final ModelBox box;
     private final Connection connection;
     private final InetSocketAddress to;
     private final HttpReader reader;
     private final HttpWriter writer;
-    private final BlockingQueue<Errand> errands = new ArrayBlockingQueue<>(2);
     private boolean connected;
     private volatile long idleSince;
 
@@ -51,12 +46,20 @@
         writer = new HttpWriter(connection);
     }
 
-    void start() { Threads.start("to " + to, this::run); }
-
-    void give(Errand errand) { errands.add(errand); }
+    /** Runs an errand on a thread of its own; between errands the connection needs none. False where none is to be had. */
+    boolean run(Errand errand) {
+        try {
+            Threads.start("to " + to, () -> carryOut(errand));
+            return true;
+        } catch (OutOfMemoryError e) {
+            Logger.warn(e, "no thread for a connection to a box");
+            connection.close();
+            return false;
+        }
+    }
 
-    /** Ends an idle connection and its thread. */
-    void dismiss() { errands.add(DISMISS); }
+    /** Ends an idle connection. */
+    void dismiss() { connection.close(); }
 
     InetSocketAddress to() { return to; }
 
@@ -65,29 +68,20 @@
     /** For an idle one: whether the box has neither closed it nor sent what nobody asked for. */
     boolean quiet() { return connection.look() == Connection.Look.QUIET; }
 
-    private void run() {
+    private void carryOut(Errand errand) {
+        boolean keep = false;
         try {
-            for (Errand errand = next(); errand != DISMISS; errand = next()) {
-                boolean keep = errand.attempt == null ? probe(errand.probeAt) : carry(errand.attempt);
-                if (!keep || connection.isClosed()) {
-                    return;
-                }
+            keep = errand.attempt == null ? probe(errand.probeAt) : carry(errand.attempt);
+        } finally {
+            if (keep && !connection.isClosed()) {
                 idleSince = box.clock.now();
                 box.idle(this);
+            } else {
+                connection.close();
             }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } finally {
-            connection.close();
         }
     }
 
-    /** The next errand. Well after the pool has given the connection up, it ends even if nobody dismisses it. */
-    private Errand next() throws InterruptedException {
-        Errand errand = errands.poll(2 * box.deployment.keepaliveNs(), TimeUnit.NANOSECONDS);
-        return errand == null ? DISMISS : errand;
-    }
-
     private void connect() throws IOException {
         if (!connected) {
             connection.connect(to, box.deployment.connectTimeoutNs());
--- a/src/main/java/streamproxy/routing/ClientConnection.java
+++ b/src/main/java/streamproxy/routing/ClientConnection.java
@@ -1,7 +1,6 @@
 package streamproxy.routing;
 
 import java.io.IOException;
-import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -9,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 import streamproxy.protocol.BadMessage;
 import streamproxy.protocol.HttpHead;
@@ -18,15 +18,18 @@
 import streamproxy.protocol.PromptHeaders;
 import streamproxy.transport.Budget;
 import streamproxy.transport.Connection;
+import streamproxy.transport.QuietConnections;
+import streamproxy.transport.Threads;
 
 /**
- * The actor of one client connection. Its thread reads a request, hands it to the module's actor, and then takes
- * the answer from its mailbox and writes it, looking meanwhile whether the client is still there.
+ * The actor of one client connection. With the first byte of a request it gets a thread, which reads the request,
+ * hands it to the module's actor, and then takes the answer from its mailbox and writes it, looking meanwhile whether
+ * the client is still there.
  */
-public final class ClientConnection implements Client {
+public final class ClientConnection implements Client, QuietConnections.Owner {
     /** What all client connections of the program share. */
     public record Desk(ModuleActor module, Clock clock, List<String> classes, List<String> tenants,
-            Budget bodyBytes, TakenIds taken, BooleanSupplier ready, BooleanSupplier leaving) { }
+            Budget bodyBytes, TakenIds taken, QuietConnections quiet, BooleanSupplier ready, BooleanSupplier leaving) { }
 
     private enum Kind { EVENT, ENDED, BROKEN, REFUSED, FAILED }
 
@@ -51,7 +54,7 @@
     /** Under pressure a request that has been coming for so long is given up for others. */
     private static final long SLOW = 500 * MS;
     /** How often the client's side is looked at while its request waits. */
-    private static final long LOOK = 50 * MS;
+    private static final long LOOK = 100 * MS;
     /** Events that wait for a slow client, and how long they may. */
     private static final int MAILBOX = 64;
     private static final long SLOWEST = 5_000 * MS;
@@ -60,6 +63,7 @@
 
     private final Connection connection;
     private final Desk desk;
+    private final Consumer<ClientConnection> ended;
     private final HttpReader reader;
     private final HttpWriter writer;
     private final BlockingQueue<Letter> mailbox = new ArrayBlockingQueue<>(MAILBOX);
@@ -69,9 +73,10 @@
     private volatile boolean served;
     private volatile boolean gone;
 
-    public ClientConnection(Connection connection, Desk desk) {
+    ClientConnection(Connection connection, Desk desk, Consumer<ClientConnection> ended) {
         this.connection = connection;
         this.desk = desk;
+        this.ended = ended;
         reader = new HttpReader(connection);
         writer = new HttpWriter(connection);
     }
@@ -99,11 +104,18 @@
     private boolean spare(Phase from) {
         boolean spared = phase.compareAndSet(from, Phase.SPARED);
         if (spared) {
-            connection.close();
+            end();
         }
         return spared;
     }
 
+    private void end() {
+        gone = true;
+        connection.close();
+        desk.quiet.letGo();
+        ended.accept(this);
+    }
+
     private boolean enter(Phase from, Phase to) {
         phaseAt = System.nanoTime();
         return phase.compareAndSet(from, to);
@@ -116,14 +128,28 @@
         }
     }
 
-    /** Serves the client's requests one after the other until one side closes. */
-    public void run() {
+    /** Waits for a request, which may never come, without a thread. */
+    void awaitRequest() {
+        desk.quiet.add(connection, served ? phaseAt + IDLE : connectedAt + MUTE, this);
+    }
+
+    @Override public void arrived() {
+        if (enter(Phase.WAITING, Phase.READING)) {
+            Threads.start("client", this::serve);
+        }
+    }
+
+    @Override public void over() { spare(Phase.WAITING); }
+
+    /** Serves the request that has begun to come, and those right behind it. */
+    private void serve() {
+        boolean goesOn = false;
         try {
-            while (serveOne()) {
+            do {
+                goesOn = false; // whatever ends this request early ends the connection
+                goesOn = serveOne();
                 served = true;
-                phaseAt = System.nanoTime();
-                phase.set(Phase.WAITING);
-            }
+            } while (goesOn && connection.holdsMore() && enter(Phase.IN_WORK, Phase.READING));
         } catch (BadMessage e) {
             reject(e);
         } catch (IOException e) {
@@ -131,8 +157,13 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
-            gone = true;
-            connection.close();
+            if (goesOn) {
+                phaseAt = System.nanoTime();
+                phase.set(Phase.WAITING);
+                awaitRequest();
+            } else {
+                end();
+            }
         }
     }
 
@@ -146,9 +177,6 @@
     }
 
     private boolean serveOne() throws IOException, InterruptedException {
-        if (!awaitRequest() || !enter(Phase.WAITING, Phase.READING)) {
-            return false;
-        }
         long by = served ? phaseAt + WHOLE : connectedAt + WHOLE;
         HttpHead head = reader.request(by);
         boolean prompt = head.path().equals(PATH);
@@ -163,6 +191,7 @@
         }
         if (!prompt) {
             reader.body(head, by);
+            phase.set(Phase.IN_WORK);
             boolean ready = desk.ready.getAsBoolean();
             return say(ready ? 200 : 503, ready ? "ready" : "not ready", head);
         }
@@ -185,15 +214,6 @@
         }
     }
 
-    /** Waits for the first byte of a request; false where the client has closed, or has kept still for too long. */
-    private boolean awaitRequest() throws IOException {
-        try {
-            return connection.awaitByte(served ? IDLE : Math.max(1, connectedAt + MUTE - System.nanoTime()));
-        } catch (SocketTimeoutException e) {
-            return connection.look() == Connection.Look.DATA; // one that came at the last moment is read
-        }
-    }
-
     private boolean takeOn(HttpHead head, PromptHeaders prompted, int clazz, long by)
             throws IOException, InterruptedException {
         if ("100-continue".equalsIgnoreCase(head.get("Expect"))) {
--- a/src/main/java/streamproxy/routing/ClientConnections.java
+++ b/src/main/java/streamproxy/routing/ClientConnections.java
@@ -3,7 +3,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import streamproxy.transport.Connection;
-import streamproxy.transport.Threads;
 
 /** The connections that clients hold, and which of them makes room where places are short. */
 public final class ClientConnections {
@@ -12,22 +11,11 @@
 
     public ClientConnections(ClientConnection.Desk desk) { this.desk = desk; }
 
-    /** Serves a connection on a thread of its own. */
+    /** Serves what comes on a connection. */
     public void take(Connection connection) {
-        ClientConnection client = new ClientConnection(connection, desk);
+        ClientConnection client = new ClientConnection(connection, desk, open::remove);
         open.add(client);
-        try {
-            Threads.start("client", () -> {
-                try {
-                    client.run();
-                } finally {
-                    open.remove(client);
-                }
-            });
-        } catch (OutOfMemoryError e) { // no thread to be had
-            open.remove(client);
-            throw e;
-        }
+        client.awaitRequest();
     }
 
     /**
--- a/src/main/java/streamproxy/routing/ModelBox.java
+++ b/src/main/java/streamproxy/routing/ModelBox.java
@@ -102,26 +102,17 @@
         while (!idle.isEmpty()) {
             BoxConnection connection = idle.pop();
             if (usable(connection)) {
-                connection.give(errand);
-                return true;
+                return connection.run(errand);
             }
             connection.dismiss();
         }
         if (!budget.tryTake(1, 0)) {
             return false;
         }
-        Connection opened = null;
         try {
-            opened = Connection.open(budget);
-            BoxConnection connection = new BoxConnection(this, opened, endpoint);
-            connection.give(errand);
-            connection.start();
-            return true;
-        } catch (IOException | OutOfMemoryError e) { // no descriptor or no thread to be had
+            return new BoxConnection(this, Connection.open(budget), endpoint).run(errand);
+        } catch (IOException e) { // no descriptor to be had
             Logger.warn(e, "no connection to a box can be opened");
-            if (opened != null) {
-                opened.close();
-            }
             return false;
         }
     }
--- a/src/main/java/streamproxy/transport/Connection.java
+++ b/src/main/java/streamproxy/transport/Connection.java
@@ -5,6 +5,8 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -25,7 +27,7 @@
     private final SocketChannel channel;
     private final Budget budget;
     private final AtomicBoolean closed = new AtomicBoolean();
-    private final byte[] buffer = new byte[BUFFER];
+    private byte[] buffer; // none while the connection is quiet
     private volatile long writingSince; // 0: no write is waiting
     private int next;
     private int end;
@@ -76,6 +78,9 @@
     }
 
     private boolean fill(long timeoutNs) throws IOException {
+        if (buffer == null) {
+            buffer = new byte[BUFFER];
+        }
         channel.socket().setSoTimeout((int) Math.min(Integer.MAX_VALUE, (timeoutNs + 999_999) / 1_000_000));
         int n = channel.socket().getInputStream().read(buffer, 0, BUFFER);
         next = 0;
@@ -89,6 +94,9 @@
             return Look.DATA;
         }
         try {
+            if (buffer == null) {
+                buffer = new byte[BUFFER];
+            }
             channel.configureBlocking(false);
             int n = channel.read(ByteBuffer.wrap(buffer));
             channel.configureBlocking(true);
@@ -100,6 +108,20 @@
         }
     }
 
+    /** Lets a selector watch for what comes next; false where that is here already. Its owner must end the watch. */
+    boolean watch(Selector selector, Object attachment) throws IOException {
+        if (next < end) {
+            return false;
+        }
+        buffer = null;
+        channel.configureBlocking(false);
+        channel.register(selector, SelectionKey.OP_READ, attachment);
+        return true;
+    }
+
+    /** Whether bytes were read from the socket that nobody has taken; for the thread that reads. */
+    public boolean holdsMore() { return next < end; }
+
     /** Whether bytes have come that nobody has read yet; unlike {@link #look} it may be asked while another reads. */
     public boolean hasArrived() {
         try {
--- a/src/test/java/streamproxy/stories/RouterStories.java
+++ b/src/test/java/streamproxy/stories/RouterStories.java
@@ -305,6 +305,21 @@
         assertEquals("and one that has asked once", "", crowd.get(158).readAll());
     }
 
+    /** Hundreds of threads that only wait cost more CPU than all requests, whenever the process is stopped and goes on. */
+    @Test public void aConnectionWithNothingToDoHasNoThread() throws Exception {
+        routerOver(box(SERVES));
+        long from = System.nanoTime();
+        List<Caller> still = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            still.add(caller().send(Caller.prompt("a" + i, "{}")));
+            still.get(i).readTo("0\r\n\r\n");
+        }
+        await("no threads", () -> Thread.getAllStackTraces().keySet().stream().map(Thread::getName)
+                .noneMatch(n -> n.equals("client") || n.startsWith("to /")));
+        assertEquals("a new request gets one", "HTTP/1.1 200 OK\r\n", ask(Caller.prompt("b", "{}")));
+        assertTrue("and this before the idle ones are closed", System.nanoTime() - from < 2_500_000_000L);
+    }
+
     /** Head and body have one limit together; each byte in time must not hold a place for ever. */
     @Test public void aRequestThatTricklesOrStaysShortIsAnsweredWithin3Seconds() throws Exception {
         ScriptedBox box = box(SERVES);
