Fail spoilt streams at once, and hold no wrong request against its box

Checked: memory, CPU (0.44 of 0.5 core at most) and descriptors were not the limit. A spoilt head without an end held its attempt until the class's aim, when there was no time for another box. Lines at fault: HttpReader.answer (no look at the first bytes, the attempt's whole time for a head, 1xx taken as the answer), chunk (sizes up to 4 GB), BoxConnection.carry (waited for the rest before it told the outcome, 4xx counted as a fault of the box, leftover bytes were not looked at), ReportLayout (1e999 spoilt the module's means for good), Policy.byId (kept each box there ever was). A request body cut by a wrong length was passed on; now it is a 400.

--- a/src/main/java/streamproxy/protocol/HttpReader.java
+++ b/src/main/java/streamproxy/protocol/HttpReader.java
@@ -13,10 +13,19 @@
     /** The most bytes of a body, as the protocol has it. */
     public static final int MOST_BODY = 256 * 1024;
     private static final int MOST_HEAD = 16 * 1024;
+    /** The most bytes of a line between chunks. */
+    private static final int MOST_CHUNK_LINE = 256;
+    /** A box writes an answer's head in one piece: one that is not whole so long after its first byte never will be. */
+    private static final long WHOLE_HEAD = 150_000_000L;
+    /** So many 1xx answers may come ahead of the one that counts. */
+    private static final int MOST_AHEAD = 8;
+    private static final String VERSION = "HTTP/1.";
 
     private final Connection from;
     private final StringBuilder line = new StringBuilder();
+    private String expected = ""; // what the next line must begin with
     private int headBytes;
+    private int mostBytes;
     private long readBy;
     private long chunkLeft;
     private boolean chunkSeen;
@@ -48,14 +57,27 @@
         return head;
     }
 
-    /** Reads an answer's head. */
+    /** Reads the head of the answer that counts; those with 1xx ahead of it are passed over. */
     public HttpHead answer(long waitNs) throws IOException {
-        if (!from.awaitByte(waitNs)) {
+        long until = System.nanoTime() + waitNs;
+        for (int ahead = 0; ahead <= MOST_AHEAD; ahead++) {
+            HttpHead head = anyAnswer(until - System.nanoTime());
+            if (head.status() >= 200) {
+                return head;
+            }
+        }
+        throw new BadMessage(502, "too many answers ahead");
+    }
+
+    private HttpHead anyAnswer(long waitNs) throws IOException {
+        if (!from.awaitByte(Math.max(1, waitNs))) {
             throw new EOFException("closed without an answer");
         }
-        String first = firstLine(waitNs);
+        expected = VERSION;
+        String first = firstLine(Math.min(waitNs, WHOLE_HEAD));
+        expected = "";
         String[] part = first.split(" ", 3);
-        if (part.length < 2 || !part[0].startsWith("HTTP/1.") || !part[1].matches("[1-5]\\d\\d")) {
+        if (part.length < 2 || !part[0].startsWith(VERSION) || !part[1].matches("[1-5]\\d\\d")) {
             throw new BadMessage(502, "malformed status line");
         }
         return fields(new HttpHead(part[0], part[1], part.length > 2 ? part[2] : ""));
@@ -63,6 +85,7 @@
 
     private String firstLine(long wholeNs) throws IOException {
         headBytes = 0;
+        mostBytes = MOST_HEAD;
         // From its first byte on the whole head has so long: one byte now and then must not hold a thread for ever.
         readBy = System.nanoTime() + wholeNs;
         String first = line();
@@ -90,9 +113,12 @@
             if (c < 0) {
                 throw new EOFException("closed within a line");
             }
-            if (++headBytes > MOST_HEAD) {
+            if (++headBytes > mostBytes) {
                 throw new BadMessage(431, "head too large");
             }
+            if (line.length() < expected.length() && c != expected.charAt(line.length())) {
+                throw new BadMessage(502, "noise in place of an answer"); // said at once: its end may never come
+            }
             if (c == '\n') {
                 int length = line.length();
                 if (length > 0 && line.charAt(length - 1) == '\r') {
@@ -190,6 +216,7 @@
     private int chunk(byte[] to, int at, int most) throws IOException {
         if (chunkLeft == 0) {
             headBytes = 0;
+            mostBytes = MOST_CHUNK_LINE;
             if (chunkSeen && !line().isEmpty()) {
                 throw new BadMessage(400, "malformed chunk");
             }
@@ -201,7 +228,11 @@
             }
             chunkLeft = Long.parseLong(size, 16);
             chunkSeen = true;
+            if (chunkLeft > MOST_BODY) {
+                throw new BadMessage(413, "body too large"); // some claim gigabytes, and keep coming
+            }
             if (chunkLeft == 0) {
+                mostBytes = MOST_HEAD;
                 while (!line().isEmpty()) {
                     continue; // trailers say nothing here
                 }
--- a/src/main/java/streamproxy/protocol/Json.java
+++ b/src/main/java/streamproxy/protocol/Json.java
@@ -1,5 +1,6 @@
 package streamproxy.protocol;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -41,6 +42,15 @@
         return value;
     }
 
+    /** Whether a text in UTF-8 is one JSON object and nothing else. */
+    public static boolean isObject(byte[] utf8) {
+        try {
+            return parse(new String(utf8, StandardCharsets.UTF_8)) instanceof Map;
+        } catch (Malformed e) {
+            return false;
+        }
+    }
+
     /** The value as an object; empty where it is none. */
     @SuppressWarnings("unchecked")
     public static Map<String, Object> object(Object value) {
--- a/src/main/java/streamproxy/protocol/PromptHeaders.java
+++ b/src/main/java/streamproxy/protocol/PromptHeaders.java
@@ -2,11 +2,13 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** The {@code Req-} header fields of a client's request. A key or prefix of 0 means that there is none. */
 public record PromptHeaders(String id, String clazz, String tenant, long key, long deadlineNs, long prefix,
         double promptTokens, double prefixTokens, double mostTokens, boolean clientRetry) {
     private static final double SECOND = 1e9;
+    private static final Pattern DECIMAL = Pattern.compile("\\d{1,12}(\\.\\d{0,12})?");
 
     public static PromptHeaders read(HttpHead head) throws BadMessage {
         String id = need(head, "Req-Id");
@@ -39,13 +41,9 @@
     }
 
     private static double number(String name, String text) throws BadMessage {
-        try {
-            double value = text == null ? -1 : Double.parseDouble(text);
-            if (value >= 0 && value < 1e12) {
-                return value;
-            }
-        } catch (NumberFormatException e) {
-            // said below
+        // Double.parseDouble alone would also take hexadecimal numbers, a trailing d, and words.
+        if (text != null && DECIMAL.matcher(text).matches()) {
+            return Double.parseDouble(text);
         }
         throw new BadMessage(400, name + " is missing or no number");
     }
--- a/src/main/java/streamproxy/routing/BoxConnection.java
+++ b/src/main/java/streamproxy/routing/BoxConnection.java
@@ -24,6 +24,8 @@
 
     /** The rest of an answer that is no stream comes at once, or not at all. */
     private static final long REST = 1_000_000_000L;
+    /** The first event comes with the head; a stream without it has been spoilt, and there may be time for another. */
+    private static final long FIRST_EVENT = 500_000_000L;
     /** A probe without an answer for so long has none. */
     private static final long PROBE_WAIT = 1_000_000_000L;
     /** The module's actor ends an attempt in time; this only keeps a thread from waiting for ever. */
@@ -110,29 +112,48 @@
             HttpHead head = reader.answer(left + BEYOND);
             LoadReport report = report(head.get("Srv-Load"));
             if (head.status() != 200 || !head.chunked()) {
-                reader.body(head, System.nanoTime() + REST);
-                boolean declined = "1".equals(head.get("Srv-Declined"));
-                box.module.over(attempt, declined ? Outcome.FULL : Outcome.ERROR, 0, report);
-                return !head.closes();
+                box.module.over(attempt, outcome(head), 0, report);
+                return wholeAfter(head);
             }
             EventStream events = new EventStream(reader);
-            byte[] event = events.next(left + BEYOND);
+            byte[] event = events.next(FIRST_EVENT);
             if (event == null) {
                 box.module.over(attempt, Outcome.ERROR, 0, report);
-                return !head.closes();
+                return reusable(head);
             }
             if (!attempt.bind()) {
                 box.module.over(attempt, Outcome.CANCELLED, 0, report);
                 return false;
             }
             bound = true;
-            return pass(attempt, event, events, report) && !head.closes();
+            return pass(attempt, event, events, report) && reusable(head);
         } catch (IOException | RuntimeException e) {
             broke(attempt, e, written, bound);
             return false;
         }
     }
 
+    private static Outcome outcome(HttpHead head) {
+        if ("1".equals(head.get("Srv-Declined"))) {
+            return Outcome.FULL;
+        }
+        // What a box finds wrong with the request speaks of the request, not of the box, and it has not run.
+        return head.status() / 100 == 4 ? Outcome.MOOT : Outcome.ERROR;
+    }
+
+    /** The rest of an answer whose outcome is known already decides only about the connection. */
+    private boolean wholeAfter(HttpHead head) {
+        try {
+            reader.body(head, System.nanoTime() + REST);
+            return reusable(head);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Bytes that belong to no answer of ours would be read as the next one's. */
+    private boolean reusable(HttpHead head) { return !head.closes() && !connection.holdsMore(); }
+
     /** The client gets this stream: passes each event on as it comes, up to the end. */
     private boolean pass(Attempt attempt, byte[] first, EventStream events, LoadReport report) throws IOException {
         Client client = attempt.request.client;
@@ -185,7 +206,7 @@
             String body = new String(reader.body(head, System.nanoTime() + PROBE_WAIT), StandardCharsets.UTF_8);
             outcome = head.status() == 200 ? Outcome.OK : Outcome.ERROR;
             report = report(body);
-            keep = !head.closes();
+            keep = reusable(head);
         } catch (SocketTimeoutException e) {
             outcome = written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED;
         } catch (IOException e) {
--- a/src/main/java/streamproxy/routing/ClientConnection.java
+++ b/src/main/java/streamproxy/routing/ClientConnection.java
@@ -14,6 +14,7 @@
 import streamproxy.protocol.HttpHead;
 import streamproxy.protocol.HttpReader;
 import streamproxy.protocol.HttpWriter;
+import streamproxy.protocol.Json;
 import streamproxy.protocol.PassedOn;
 import streamproxy.protocol.PromptHeaders;
 import streamproxy.transport.Budget;
@@ -220,6 +221,9 @@
             writer.goOn();
         }
         byte[] body = reader.body(head, by);
+        if (!Json.isObject(body)) {
+            throw new BadMessage(400, "the body is no JSON object"); // a wrong length has cut it, or added to it
+        }
         if (!enter(Phase.READING, Phase.IN_WORK)) {
             return false;
         }
--- a/src/main/java/streamproxy/routing/Policy.java
+++ b/src/main/java/streamproxy/routing/Policy.java
@@ -130,8 +130,8 @@
     private final Map<Long, Req> requests = new HashMap<>();
     private final Map<Integer, Req> timers = new HashMap<>();
     private final Map<Long, Prefix> prefixes = new HashMap<>();
-    private final ArrayDeque<Req> held = new ArrayDeque<>();    // nowhere to go yet
-    private final ArrayDeque<Req> waiting = new ArrayDeque<>(); // for a probe's answer
+    private final Set<Req> held = new LinkedHashSet<>();    // nowhere to go yet
+    private final Set<Req> waiting = new LinkedHashSet<>(); // for a probe's answer
     private int epoch;
     private int tokens;
     private double probeBudget = PROBES_SAVED;
@@ -224,6 +224,12 @@
                 fleet.add(r);
             }
             r.ready = ready;
+            if (e.health() == Health.GONE) {
+                byId.remove(r.id); // ids are always new: kept, they would pile up
+            }
+        }
+        if (change.form() != ListForm.DELTA) {
+            byId.values().removeIf(r -> !r.ready); // not named; one that drains is known by its attempts
         }
         if (changed) {
             epoch++;
@@ -496,12 +502,7 @@
         if (!r.ready || cold(now, r) || r.ejectedUntil > now || r.ejectedUntil > 0 && r.trial) {
             return false;
         }
-        for (Attempt a : q.attempts) {
-            if (a.to == r) {
-                return false;
-            }
-        }
-        return mayRepeat(now, q, r);
+        return q.attempts.isEmpty() || q.attempts.stream().noneMatch(a -> a.to == r) && mayRepeat(now, q, r);
     }
 
     private void place(long now, Req q) {
@@ -516,7 +517,7 @@
             }
             draw(now, q);
             if (q.drawn.isEmpty()) {
-                hold(q);
+                held.add(q);
                 return;
             }
             boolean asked = false;
@@ -565,12 +566,7 @@
         if (q.in.prefix() == 0 || fleet.isEmpty()) {
             return null;
         }
-        Prefix p = prefixes.get(q.in.prefix());
-        if (p == null) {
-            p = new Prefix();
-            p.at = now;
-            prefixes.put(q.in.prefix(), p);
-        }
+        Prefix p = prefixes.computeIfAbsent(q.in.prefix(), key -> new Prefix());
         if (q.attempts.isEmpty() && q.probesUntil < 0) {
             p.seen = p.seen * Math.exp((p.at - now) / PREFIX_MEMORY) + 1;
             p.at = now;
@@ -605,12 +601,7 @@
     }
 
     private static boolean among(Rep[] homes, int size, Rep r) {
-        for (int i = 0; i < size && i < homes.length; i++) {
-            if (homes[i] == r) {
-                return true;
-            }
-        }
-        return false;
+        return Arrays.asList(homes).subList(0, Math.min(size, homes.length)).contains(r);
     }
 
     /** With no entry to take, ready replicas at random: keepers in the session's order, else owned ones. */
@@ -678,7 +669,7 @@
         waiting.remove(q);
         q.probesUntil = -1;
         if (to == null) {
-            hold(q);
+            held.add(q);
             return;
         }
         send(now, q, to);
@@ -689,15 +680,9 @@
         return busy(now, r) + (p == null || keeps(p, r) ? 0 : q.in.prefixTokens());
     }
 
-    private void hold(Req q) {
-        if (!held.contains(q)) {
-            held.add(q);
-        }
-    }
-
     private void release(long now) {
-        for (int n = held.size(); n > 0; n--) {
-            Req q = held.poll();
+        for (Req q : held.toArray(new Req[0])) {
+            held.remove(q);
             step(now, q);
         }
     }
@@ -736,10 +721,7 @@
 
     /** Requests a second that a warm replica carries now, which is at most its capacity. */
     private double carried(long now) {
-        int warm = 0;
-        for (Rep r : fleet) {
-            warm += cold(now, r) ? 0 : 1;
-        }
+        long warm = fleet.stream().filter(r -> !cold(now, r)).count();
         return arrivals * set.gateways() / Math.max(1, Math.max(warm, fleet.size() / 2));
     }
 
@@ -794,7 +776,9 @@
         if (!a.begun) {
             a.begun = true;
             a.to.pending = Math.max(0, a.to.pending - q.in.promptTokens());
-            success(a.to);
+            a.to.strikes = 0;
+            a.to.ejectedUntil = 0;
+            a.to.trial = false;
         }
         q.begun = true;
         settle(q);
@@ -890,20 +874,11 @@
         delist(r);
     }
 
-    private void success(Rep r) {
-        r.strikes = 0;
-        r.ejectedUntil = 0;
-        r.trial = false;
-    }
-
     private void failure(long now, Rep r, double share) {
         r.strikes++;
         r.trial = false;
         delist(r);
-        int gone = 0;
-        for (Rep o : fleet) {
-            gone += o.ejectedUntil > now ? 1 : 0;
-        }
+        long gone = fleet.stream().filter(o -> o.ejectedUntil > now).count();
         if (gone + 1 <= share * fleet.size()) {
             long away = Math.min(EJECT_LONGEST, EJECT_FIRST << Math.min(10, r.strikes - 1));
             r.ejectedUntil = now + away / 2 + random.nextLong(away);
--- a/src/main/java/streamproxy/routing/ReportLayout.java
+++ b/src/main/java/streamproxy/routing/ReportLayout.java
@@ -8,6 +8,8 @@
 public final class ReportLayout {
     private static final int SLOTS = 4;
     private static final int MEASURES = 7;
+    /** What no box can mean: means kept of reports must not be spoilt for good by one that is infinite. */
+    private static final double MOST = 1e9;
 
     private final String[] names = new String[SLOTS];
     private final int[] measure = new int[SLOTS];
@@ -48,9 +50,9 @@
         return read(values);
     }
 
-    /** Reads the values by the names of their fields, NaN for an absent one; null where all are absent. */
+    /** Reads the values by the names of their fields, NaN for an absent or impossible one; null where all are absent. */
     public Routing.LoadReport read(ToDoubleFunction<String> field) {
-        double[] values = Arrays.stream(names).mapToDouble(field).toArray();
+        double[] values = Arrays.stream(names).mapToDouble(field).map(v -> v >= 0 && v < MOST ? v : Double.NaN).toArray();
         return Arrays.stream(values).allMatch(Double::isNaN) ? null : read(values);
     }
 
--- a/src/test/java/streamproxy/routing/PolicyTest.java
+++ b/src/test/java/streamproxy/routing/PolicyTest.java
@@ -118,6 +118,15 @@
         assertTrue(used.size() <= 9, "kept on a few replicas, was on " + used.size());
     }
 
+    /** Ids are always new in service: one kept for each replica there ever was would fill the memory in months. */
+    @Test void aReplicaThatIsGoneIsForgotten() {
+        Rig rig = three(pull(safe())).report(1, 0);
+        rig.arrive(10, 0, 1000, 0).ended(10, 0, Outcome.ERROR, true);
+        rig.list(ListForm.DELTA, at(1, 0, 0, Health.GONE)).list(ListForm.DELTA, ready(1)).report(1, 0);
+        rig.arrive(11, 0, 1000, 0);
+        assertEquals(List.of(1L), rig.sends(11), "a failure before it was gone is not held against it");
+    }
+
     // ---- rule 1
 
     @Test void everyRequestGetsOneAnswerBeforeItsBudgetEnds() {
--- a/src/test/java/streamproxy/stories/RouterStories.java
+++ b/src/test/java/streamproxy/stories/RouterStories.java
@@ -189,6 +189,8 @@
             {"400", good.replace("Req-Id: a1\r\n", "")},
             {"400", good.replace("Req-Key: 7f3a9c21e0b4d655", "Req-Key: what")},
             {"400", good.replace("3.000", "soon")},
+            {"400", good.replace("3.000", "0x3p0")},
+            {"400", good.replace("{}", "{\"")}, // cut by a wrong length
             {"400", good.replace("prompt_len=100,", "")},
             {"400", good.replace("Host: app.svc\r\n", "")},
             {"400", good.replace("Content-Length: 2", "Content-Length: -2")},
@@ -383,4 +385,79 @@
         sends.join(6_000);
         assertFalse("and the connection ends", sends.isAlive());
     }
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+
+    /** Its box holds the connection open; nobody may wait for the end of what has none. */
+    @Test public void aStreamSpoiltBeforeItsFirstEventGoesToAnotherBoxAtOnce() throws Exception {
+        String[] spoilt = {"\u0001\u0002noise without an end", "HTTP/1.1 200 OK\r\nX-Never: ", HEAD,
+            HEAD + "\r\nwhat?\r\n", HEAD + "\r\nC0000000\r\nxxxx", HEAD + "\r\n3\r\nxxxxxxx"};
+        for (int i = 0; i < spoilt.length; i++) {
+            String text = spoilt[i];
+            ScriptedBox bad = box(e -> {
+                e.write(text);
+                e.awaitClose();
+            });
+            routerOver(bad, box(SERVES));
+            for (int n = 0; bad.attempts.isEmpty(); n++) {
+                assertTrue("the bad box was never tried", n < 200);
+                long from = System.nanoTime();
+                String answer = caller().send(Caller.prompt("a" + n, "{}")).readTo("\r\n");
+                assertTrue(text + ": " + answer, answer.startsWith("HTTP/1.1 200 "));
+                assertTrue(text + " in good time", System.nanoTime() - from < 1_500_000_000L);
+            }
+            router.close();
+        }
+    }
+
+    @Test public void aStreamSpoiltLaterEndsWithoutTheLastChunk() throws Exception {
+        for (String noise : List.of("zz\r\n", "C0000000\r\nxxxx", "x".repeat(300), "5\r\nxxxxxxxxx")) {
+            routerOver(box(e -> {
+                e.streamHead();
+                e.chunk(ONE);
+                e.write(noise);
+                e.awaitClose();
+            }));
+            long from = System.nanoTime();
+            String answer = caller().send(Caller.prompt("a1", "{}")).readAll();
+            assertTrue(answer, answer.contains(chunk(ONE)) && !answer.endsWith("0\r\n\r\n"));
+            assertTrue(System.nanoTime() - from < 3_000_000_000L);
+            router.close();
+        }
+    }
+
+    /** 1xx answers ahead and bytes behind do a good stream no harm; the connection that has them is not used again. */
+    @Test public void aGoodStreamWithMoreThanBelongsToItIsServed() throws Exception {
+        ScriptedBox box = box(e -> {
+            e.write("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n");
+            e.streamHead();
+            e.chunk(ONE);
+            e.chunk(": Srv-Load: {\"q\":1e999,\n\n");
+            e.write("0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad");
+        });
+        routerOver(box);
+        for (int i = 0; i < 5; i++) {
+            String answer = caller().send(Caller.prompt("a" + i, "{}")).readTo("0\r\n\r\n");
+            assertTrue(answer, answer.contains(chunk(ONE)));
+        }
+        assertEquals(5, box.attempts.size());
+    }
+
+    /** A body that a box cannot use says nothing about the box: without it a few bad clients shut the boxes out. */
+    @Test public void aBoxThatTurnsARequestDownAsWrongStaysInUse() throws Exception {
+        ScriptedBox.Script picky = e -> {
+            if (e.body().contains("bad")) {
+                e.answer("400 Bad Request", "", "");
+            } else {
+                SERVES.play(e);
+            }
+        };
+        routerOver(box(picky), box(picky), box(picky));
+        for (int i = 0; i < 3; i++) {
+            assertTrue(ask(Caller.prompt("bad" + i, "{\"x\":\"bad\"}")).startsWith("HTTP/1.1 503 "));
+        }
+        long from = System.nanoTime();
+        assertTrue(ask(Caller.prompt("good", "{}")).startsWith("HTTP/1.1 200 "));
+        assertTrue("served at once", System.nanoTime() - from < 400_000_000L);
+    }
 }
