Count own attempts in a box's load, draw more of them, and take one reset for no failure

Lines at fault: Policy.busy (reports alone say what runs), draw (two of the own centre), probed and judge (RESET), coldTurn (the first prompt that comes), EARLY and KEEPERS for a fleet of this size.

--- a/src/main/java/streamproxy/routing/Policy.java
+++ b/src/main/java/streamproxy/routing/Policy.java
@@ -19,7 +19,7 @@
     /** Owned replicas a gateway wants; where gateways are many, each gets more owners (paper: r = n/m). */
     private static final double OWNED_WANTED = 12;
     /** z, the early threshold, as a share of a mean prompt: under it a new prompt is begun at once. */
-    private static final double EARLY = 0.2;
+    private static final double EARLY = 0.4;
     /** Evidence older than this is probed again before it places a prompt; reports refresh no faster. */
     private static final long FRESH = 300 * MS;
     /** Evidence older than this says nothing: queues at a replica turn over within it. */
@@ -48,9 +48,13 @@
     /** Time over which a beginning's share of the traffic is counted; keepers for each share of a zone. */
     private static final double PREFIX_MEMORY = 25.0 * SECOND;
     private static final int PREFIXES_MOST = 4096;
-    private static final double KEEPERS = 1.5;
+    private static final double KEEPERS = 2.5;
     /** What a replica with twice the usual answers running is behind by, in mean prompts. */
     private static final double STRAIN = 1;
+    /** What each own attempt out adds, in mean prompts: reports come late, slow replicas keep theirs. */
+    private static final double RUNNING = 0.1;
+    private static final int DRAWN = 4; // from the zone that goes first, with two of the other beside them
+    private static final double COLD_IN_TIME = 0.7; // the share of its time in which a prompt must be begun
 
     private final Settings set;
     private final Actions out;
@@ -70,9 +74,11 @@
         long probeAt = -1;           // an unanswered probe went out then
         double held;                 // requests in hand, or memory or cores in use, by that report
         double sentSince;            // own tokens sent since that report
+        int running;                 // own attempts out
         double pending;              // own tokens sent that have no first token yet
         int strikes;                 // failures in a row
         long ejectedUntil;           // 0 = in service
+        boolean reset;               // the last attempt was reset
         boolean trial;               // one attempt out to a replica coming back
         long coldTurn = -1;          // the cold turn used last
 
@@ -140,6 +146,7 @@
     private double backlog;          // share of the work to turn away for the sake of the rest
     private double meanUnread;
     private double meanHeld;
+    private double meanFirst;        // from a send to its first token
     private double strainNear = 1;
     private double strainFar = 1;
     private double seen;
@@ -334,10 +341,11 @@
         return known ? r.unread + Math.max(r.sentSince, r.pending) : meanUnread + r.pending;
     }
 
-    /** Load, and what more than the usual number of running answers slows a new one, in tokens. */
+    /** Load, and what running answers, the own ones above all, slow a new one by, in tokens. */
     private double busy(long now, Rep r) {
         boolean known = r.reportAt >= 0 && now - r.reportAt < STALE && meanHeld > 0;
-        return load(now, r) + (known ? STRAIN * meanPrompt * Math.max(0, r.held / meanHeld - 1) : 0);
+        double strain = known ? STRAIN * Math.max(0, r.held / meanHeld - 1) : 0;
+        return load(now, r) + meanPrompt * (strain + RUNNING * r.running);
     }
 
     private boolean probe(long now, Rep r) {
@@ -361,7 +369,7 @@
         r.probeAt = -1;
         if (e.outcome() == Outcome.OK) {
             report(now, r, e.report());
-        } else {
+        } else if (e.outcome() != Outcome.RESET) { // a connection's end tells nothing of the load
             overloaded(now, r);
         }
         for (Req q : waiting.toArray(new Req[0])) {
@@ -625,8 +633,10 @@
                 pick(now, q, Arrays.asList(one), key);
             }
         } else {
-            pick(now, q, nearFirst ? ownNear : ownFar, key);
-            pick(now, q, nearFirst ? ownNear : ownFar, key);
+            for (int i = 0; i < DRAWN; i++) {
+                pick(now, q, nearFirst ? ownNear : ownFar, key);
+            }
+            pick(now, q, nearFirst ? ownFar : ownNear, key);
             pick(now, q, nearFirst ? ownFar : ownNear, key);
         }
         if (q.drawn.size() < 2) {
@@ -699,7 +709,7 @@
         }
         double carried = -1; // counted over the fleet once, and only where a replica is cold
         for (Rep r : fleet) {
-            if (cold(now, r) && r.ejectedUntil <= now && mayRepeat(now, q, r)) {
+            if (cold(now, r) && r.ejectedUntil <= now && mayRepeat(now, q, r) && inTime(now, q, r)) {
                 carried = carried < 0 ? carried(now) : carried;
                 long turn = turnOf(now, r, carried);
                 if (turn > r.coldTurn && Math.floorMod(turn + r.ring, (long) set.gateways()) == set.me()) {
@@ -711,6 +721,13 @@
         return null;
     }
 
+    /** Whether a replica that can do so much less than a warm one has time enough for this prompt. */
+    private boolean inTime(long now, Req q, Rep r) {
+        double can = set.rules().startCapacity()
+                + (1 - set.rules().startCapacity()) * (now - r.born) / set.rules().rampNs();
+        return meanFirst / can <= COLD_IN_TIME * (q.aimAt - now);
+    }
+
     private long turnOf(long now, Rep r, double carried) {
         double age = (now - r.born) / (double) SECOND;
         double ramp = set.rules().rampNs() / (double) SECOND;
@@ -737,6 +754,7 @@
         a.zone = r.zone;
         a.cell = r.cell;
         q.attempts.add(a);
+        r.running++;
         r.sentSince += q.in.promptTokens();
         r.pending += q.in.promptTokens();
         r.trial = r.ejectedUntil > 0;
@@ -775,10 +793,11 @@
         Attempt a = q.attempts.get(e.attempt());
         if (!a.begun) {
             a.begun = true;
+            meanFirst += 0.05 * (now - a.at - meanFirst);
             a.to.pending = Math.max(0, a.to.pending - q.in.promptTokens());
             a.to.strikes = 0;
             a.to.ejectedUntil = 0;
-            a.to.trial = false;
+            a.to.trial = a.to.reset = false;
         }
         q.begun = true;
         settle(q);
@@ -796,6 +815,7 @@
         }
         Attempt a = q.attempts.get(e.attempt());
         a.out = false;
+        a.to.running--;
         a.mayHaveRun = !e.outcome().neverRan();
         if (!a.begun) {
             a.to.pending = Math.max(0, a.to.pending - q.in.promptTokens());
@@ -856,7 +876,13 @@
 
     private void judge(long now, Rep r, Outcome outcome) {
         switch (outcome) {
-            case ERROR, CONNECT_FAILED, RESET -> failure(now, r, EJECT_SHARE);
+            case ERROR, CONNECT_FAILED -> failure(now, r, EJECT_SHARE);
+            case RESET -> {
+                if (r.reset) {
+                    failure(now, r, EJECT_SHARE);
+                }
+                r.reset = true; // one may be the connection's fault: a process that died refuses the next
+            }
             case FULL -> overloaded(now, r);
             case TIMEOUT -> {
                 press(true);
--- a/src/test/java/streamproxy/routing/PolicyTest.java
+++ b/src/test/java/streamproxy/routing/PolicyTest.java
@@ -127,6 +127,52 @@
         assertEquals(List.of(1L), rig.sends(11), "a failure before it was gone is not held against it");
     }
 
+    /** Reports come late and a slow replica keeps its streams: what the gateway has out there itself counts too. */
+    @Test void aReplicaThatKeepsManyOwnAttemptsIsNotIdleWhateverItReports() {
+        Rig rig = three(pull(safe()));
+        for (int i = 0; i < 30; i++) {
+            rig.report(1, 0).report(2, 0).report(3, 0).arrive(i, 0, 1000, 0);
+            if (rig.sentTo(i, 0) != 1) {
+                rig.serve(i);
+            } else {
+                rig.on(new Routing.FirstByte(i, 0, 1, MS)); // 1 begins all that it is given and ends nothing
+            }
+        }
+        long kept = java.util.stream.IntStream.range(0, 30).filter(i -> rig.sentTo(i, 0) == 1).count();
+        assertTrue(kept > 1 && kept < 8, "kept " + kept);
+    }
+
+    /** A kept connection that a box has closed resets the next request; taken for overload, it had all boxes shunned. */
+    @Test void aResetAloneIsTheConnectionsFault() {
+        Rig rig = three(pull(safe())).report(1, 0).report(2, 90_000).report(3, 90_000);
+        rig.on(new Routing.Probed(1, Outcome.RESET, MS, null)).arrive(10, 0, 1000, 0);
+        assertEquals(1, rig.sentTo(10, 0), "still idle by its report");
+        rig.ended(10, 0, Outcome.RESET, true).report(1, 0).arrive(11, 0, 1000, 0);
+        assertEquals(1, rig.sentTo(11, 0), "one reset does not shut it out");
+        rig.ended(11, 0, Outcome.RESET, true).report(1, 0).arrive(12, 0, 1000, 0).pass(400 * MS);
+        assertNotEquals(1, rig.sentTo(12, 0), "two in a row do");
+    }
+
+    /** A cold replica reads slowly: a prompt in a hurry given to it is late. */
+    @Test void aColdReplicaGetsOnlyPromptsThatItCanBeginInTime() {
+        Routing.RequestClass hasty = new Routing.RequestClass("h", Effect.SAFE, Group.ALL, 0, 200 * MS, 0, 8 * S, 1, 0, true);
+        Rig rig = new Rig(settings(0, 1, Reports.SILENT, false, safe(), hasty));
+        rig.list(ListForm.FULL, ready(1), ready(2));
+        Set<Long> hastyTo = new HashSet<>();
+        Set<Long> patientTo = new HashSet<>();
+        for (int i = 0; i < 160; i++) {
+            if (i == 100) {
+                rig.list(ListForm.DELTA, at(9, 0, rig.now, Health.READY));
+            }
+            boolean patient = i % 3 == 0;
+            rig.on(new Routing.Arrival(i, patient ? 0 : 1, 0, 0, 0, 1000, 0, 100, 8 * S, -1, false)).pass(50 * MS);
+            (patient ? patientTo : hastyTo).add(rig.sentTo(i, 0));
+            rig.serve(i); // its first token has taken 50 ms
+        }
+        assertTrue(patientTo.contains(9L), "patient prompts " + patientTo);
+        assertFalse(hastyTo.contains(9L), "hasty prompts " + hastyTo);
+    }
+
     // ---- rule 1
 
     @Test void everyRequestGetsOneAnswerBeforeItsBudgetEnds() {
