Give cold boxes their turns from what is shed, and reckon their time without queues

Seen: on wide+reset+stale 5 of 12 boxes come back cold at 12.5 s; from 10 s on 57% of prompts were refused. Lines at fault: Policy.arrive, which shed prompts before a cold box's turn was looked at, and inTime, which measured a cold box by the mean time to a first token, that is by the queues of the others. Now: a prompt to be shed goes to a cold box that has a turn; the time is the quickest tenth of first tokens.

--- a/src/main/java/streamproxy/routing/Policy.java
+++ b/src/main/java/streamproxy/routing/Policy.java
@@ -146,7 +146,7 @@
     private double backlog;          // share of the work to turn away for the sake of the rest
     private double meanUnread;
     private double meanHeld;
-    private double meanFirst;        // from a send to its first token
+    private double quickFirst = 100 * MS; // from a send to its first token, where nothing waits ahead
     private double strainNear = 1;
     private double strainFar = 1;
     private double seen;
@@ -428,7 +428,7 @@
             classWork[i] *= Math.exp(-passed / 10);
         }
         classWork[in.clazz()] += in.promptTokens();
-        if (shed(q.clazz)) {
+        if (shed(q.clazz) && !toCold(now, q)) { // a cold replica has its turns whatever the backlog
             answer(q);
             return;
         }
@@ -515,12 +515,7 @@
 
     private void place(long now, Req q) {
         if (q.probesUntil < 0) {
-            Rep cold = coldTurn(now, q);
-            if (cold != null) {
-                send(now, q, cold);
-                return;
-            }
-            if (fromList(now, q)) {
+            if (toCold(now, q) || fromList(now, q)) {
                 return;
             }
             draw(now, q);
@@ -703,9 +698,9 @@
      * A cold replica takes its turns: the requests that all gateways together may send it are numbered by
      * the integral of its allowed rate, and each number belongs to one gateway. So no burst can form.
      */
-    private Rep coldTurn(long now, Req q) {
+    private boolean toCold(long now, Req q) {
         if (q.in.promptTokens() > 1.5 * meanPrompt) {
-            return null;
+            return false;
         }
         double carried = -1; // counted over the fleet once, and only where a replica is cold
         for (Rep r : fleet) {
@@ -714,18 +709,19 @@
                 long turn = turnOf(now, r, carried);
                 if (turn > r.coldTurn && Math.floorMod(turn + r.ring, (long) set.gateways()) == set.me()) {
                     r.coldTurn = turn;
-                    return r;
+                    send(now, q, r);
+                    return true;
                 }
             }
         }
-        return null;
+        return false;
     }
 
     /** Whether a replica that can do so much less than a warm one has time enough for this prompt. */
     private boolean inTime(long now, Req q, Rep r) {
         double can = set.rules().startCapacity()
                 + (1 - set.rules().startCapacity()) * (now - r.born) / set.rules().rampNs();
-        return meanFirst / can <= COLD_IN_TIME * (q.aimAt - now);
+        return quickFirst / can <= COLD_IN_TIME * (q.aimAt - now);
     }
 
     private long turnOf(long now, Rep r, double carried) {
@@ -793,7 +789,8 @@
         Attempt a = q.attempts.get(e.attempt());
         if (!a.begun) {
             a.begun = true;
-            meanFirst += 0.05 * (now - a.at - meanFirst);
+            // Near the quickest tenth: what a replica without a queue takes, however long queues are.
+            quickFirst += 0.05 * quickFirst * (now - a.at < quickFirst ? -0.9 : 0.1);
             a.to.pending = Math.max(0, a.to.pending - q.in.promptTokens());
             a.to.strikes = 0;
             a.to.ejectedUntil = 0;
--- a/src/test/java/streamproxy/routing/PolicyTest.java
+++ b/src/test/java/streamproxy/routing/PolicyTest.java
@@ -173,6 +173,25 @@
         assertFalse(hastyTo.contains(9L), "hasty prompts " + hastyTo);
     }
 
+    /** Half of the boxes were cold after a crash; what the others' backlog had shed left them without work. */
+    @Test void whatABacklogShedsStillGoesToAColdReplicaInItsTurn() {
+        Rig rig = three(pull(safe()));
+        for (int i = 0; i < 100; i++) { // until most is shed
+            rig.report(1, 90_000).report(2, 90_000).report(3, 90_000);
+        }
+        rig.list(ListForm.DELTA, at(9, 0, rig.now, Health.READY));
+        int cold = 0;
+        for (int i = 0; i < 360; i++) { // nearly all of its ramp, in which it has about 70 turns
+            rig.report(1, 90_000).report(2, 90_000).report(3, 90_000);
+            rig.arrive(i, 0, 1000, 0).pass(50 * MS);
+            cold += rig.sends(i).contains(9L) ? 1 : 0;
+            for (int a = 0; a < rig.sends(i).size(); a++) {
+                rig.serve(i);
+            }
+        }
+        assertTrue(cold >= 50, "cold replica got " + cold);
+    }
+
     // ---- rule 1
 
     @Test void everyRequestGetsOneAnswerBeforeItsBudgetEnds() {
