Make the build a reactor of what decides and what serves

Need: a reader should see where decisions end and sockets begin, and what measures the router must stay off its class path. No behaviour changed.

--- a/src/main/java/streamproxy/routing/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -1,7 +1,7 @@
-package streamproxy.routing;
+package streamproxy.decision;
 
 import java.util.*;
-import streamproxy.routing.Routing.*;
+import streamproxy.decision.Routing.*;
 
 /**
  * Every routing decision of one gateway. The interface (settings, events, actions) is Routing.java.
--- a/src/main/java/streamproxy/routing/ReportLayout.java
+++ b/decision/src/main/java/streamproxy/decision/ReportLayout.java
@@ -1,4 +1,4 @@
-package streamproxy.routing;
+package streamproxy.decision;
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
--- a/src/main/java/streamproxy/routing/Routing.java
+++ b/decision/src/main/java/streamproxy/decision/Routing.java
@@ -1,4 +1,4 @@
-package streamproxy.routing;
+package streamproxy.decision;
 
 import java.util.List;
 import java.util.Objects;
--- a/src/test/java/streamproxy/routing/ExampleTest.java
+++ b/decision/src/test/java/streamproxy/decision/ExampleTest.java
@@ -1,4 +1,4 @@
-package streamproxy.routing;
+package streamproxy.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/streamproxy/routing/GeneralityTest.java
+++ b/decision/src/test/java/streamproxy/decision/GeneralityTest.java
@@ -1,18 +1,18 @@
-package streamproxy.routing;
+package streamproxy.decision;
 
-import static streamproxy.routing.Rig.MS;
-import static streamproxy.routing.Rig.S;
-import static streamproxy.routing.Rig.ready;
-import static streamproxy.routing.Rig.safe;
-import static streamproxy.routing.Rig.settings;
+import static streamproxy.decision.Rig.MS;
+import static streamproxy.decision.Rig.S;
+import static streamproxy.decision.Rig.ready;
+import static streamproxy.decision.Rig.safe;
+import static streamproxy.decision.Rig.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTimeout;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
-import streamproxy.routing.Routing.Health;
-import streamproxy.routing.Routing.ListForm;
-import streamproxy.routing.Routing.Reports;
+import streamproxy.decision.Routing.Health;
+import streamproxy.decision.Routing.ListForm;
+import streamproxy.decision.Routing.Reports;
 import org.junit.jupiter.api.Test;
 
 /** Settings unlike the deployments that the module was scored on. */
--- a/src/test/java/streamproxy/routing/PolicyTest.java
+++ b/decision/src/test/java/streamproxy/decision/PolicyTest.java
@@ -1,12 +1,12 @@
-package streamproxy.routing;
-
-import static streamproxy.routing.Rig.MS;
-import static streamproxy.routing.Rig.S;
-import static streamproxy.routing.Rig.at;
-import static streamproxy.routing.Rig.clazz;
-import static streamproxy.routing.Rig.ready;
-import static streamproxy.routing.Rig.safe;
-import static streamproxy.routing.Rig.settings;
+package streamproxy.decision;
+
+import static streamproxy.decision.Rig.MS;
+import static streamproxy.decision.Rig.S;
+import static streamproxy.decision.Rig.at;
+import static streamproxy.decision.Rig.clazz;
+import static streamproxy.decision.Rig.ready;
+import static streamproxy.decision.Rig.safe;
+import static streamproxy.decision.Rig.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -16,12 +16,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import streamproxy.routing.Routing.Effect;
-import streamproxy.routing.Routing.Group;
-import streamproxy.routing.Routing.Health;
-import streamproxy.routing.Routing.ListForm;
-import streamproxy.routing.Routing.Outcome;
-import streamproxy.routing.Routing.Reports;
+import streamproxy.decision.Routing.Effect;
+import streamproxy.decision.Routing.Group;
+import streamproxy.decision.Routing.Health;
+import streamproxy.decision.Routing.ListForm;
+import streamproxy.decision.Routing.Outcome;
+import streamproxy.decision.Routing.Reports;
 import org.junit.jupiter.api.Test;
 
 class PolicyTest {
--- a/src/main/java/streamproxy/benchlink/BenchLink.java
+++ b/router/src/main/java/streamproxy/benchlink/BenchLink.java
@@ -12,10 +12,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import streamproxy.routing.Policy;
-import streamproxy.routing.ReportLayout;
-import streamproxy.routing.Routing;
-import streamproxy.routing.SettingsText;
+import streamproxy.decision.Policy;
+import streamproxy.decision.ReportLayout;
+import streamproxy.decision.Routing;
+import streamproxy.decision.SettingsText;
 
 /** Hosts instances of the module on the simulator's wire. It frames and translates; it decides nothing. */
 public final class BenchLink {
--- a/src/main/java/streamproxy/benchlink/ReplyBuffer.java
+++ b/router/src/main/java/streamproxy/benchlink/ReplyBuffer.java
@@ -6,7 +6,7 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import streamproxy.routing.Routing;
+import streamproxy.decision.Routing;
 
 /** Collects the action records of one reply; the instance that acts is set before each event. */
 final class ReplyBuffer implements Routing.Actions {
--- a/src/main/java/streamproxy/program/Main.java
+++ b/router/src/main/java/streamproxy/program/Main.java
@@ -5,7 +5,7 @@
 import org.tinylog.Logger;
 import streamproxy.benchlink.BenchLink;
 import streamproxy.protocol.NodeConfig;
-import streamproxy.routing.SettingsText;
+import streamproxy.decision.SettingsText;
 
 /** Command-line entry: {@code serve} runs one router, {@code benchlink} the module on the simulator's wire. */
 public final class Main {
--- a/src/main/java/streamproxy/routing/BoxConnection.java
+++ b/router/src/main/java/streamproxy/routing/BoxConnection.java
@@ -13,8 +13,8 @@
 import streamproxy.protocol.HttpWriter;
 import streamproxy.protocol.Json;
 import streamproxy.protocol.PassedOn;
-import streamproxy.routing.Routing.LoadReport;
-import streamproxy.routing.Routing.Outcome;
+import streamproxy.decision.Routing.LoadReport;
+import streamproxy.decision.Routing.Outcome;
 import streamproxy.transport.Connection;
 import streamproxy.transport.Threads;
 
--- a/src/main/java/streamproxy/routing/BoxList.java
+++ b/router/src/main/java/streamproxy/routing/BoxList.java
@@ -11,7 +11,7 @@
 import streamproxy.protocol.HttpReader;
 import streamproxy.protocol.HttpWriter;
 import streamproxy.protocol.Json;
-import streamproxy.routing.Routing.ListForm;
+import streamproxy.decision.Routing.ListForm;
 import streamproxy.transport.Connection;
 import streamproxy.transport.Budget;
 import streamproxy.transport.Threads;
--- a/src/main/java/streamproxy/routing/ModelBox.java
+++ b/router/src/main/java/streamproxy/routing/ModelBox.java
@@ -6,8 +6,10 @@
 import java.util.Iterator;
 import java.util.concurrent.atomic.AtomicLong;
 import org.tinylog.Logger;
+import streamproxy.decision.ReportLayout;
+import streamproxy.decision.SettingsText;
 import streamproxy.protocol.BoxEntry;
-import streamproxy.routing.Routing.Outcome;
+import streamproxy.decision.Routing.Outcome;
 import streamproxy.transport.Connection;
 import streamproxy.transport.Budget;
 
--- a/src/main/java/streamproxy/routing/ModelBoxes.java
+++ b/router/src/main/java/streamproxy/routing/ModelBoxes.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import streamproxy.decision.ReportLayout;
+import streamproxy.decision.SettingsText;
 import streamproxy.protocol.BoxEntry;
 import streamproxy.transport.Budget;
 
--- a/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -9,11 +9,14 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import org.tinylog.Logger;
+import streamproxy.decision.Policy;
+import streamproxy.decision.Routing;
+import streamproxy.decision.SettingsText;
 import streamproxy.protocol.BoxEntry;
-import streamproxy.routing.Routing.Health;
-import streamproxy.routing.Routing.ListForm;
-import streamproxy.routing.Routing.LoadReport;
-import streamproxy.routing.Routing.Outcome;
+import streamproxy.decision.Routing.Health;
+import streamproxy.decision.Routing.ListForm;
+import streamproxy.decision.Routing.LoadReport;
+import streamproxy.decision.Routing.Outcome;
 
 /**
  * The module's actor, sole caller of {@link Policy}. It keeps the clock, the timers and the table of requests,
--- a/src/test/java/streamproxy/benchlink/BenchLinkTest.java
+++ b/router/src/test/java/streamproxy/benchlink/BenchLinkTest.java
@@ -15,7 +15,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import streamproxy.routing.ReportLayout;
+import streamproxy.decision.ReportLayout;
 
 class BenchLinkTest {
     private static final String SETTINGS = """
--- a/src/test/java/streamproxy/routing/ModelBoxStories.java
+++ b/router/src/test/java/streamproxy/routing/ModelBoxStories.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
 import org.junit.Test;
+import streamproxy.decision.SettingsText;
 import streamproxy.protocol.BoxEntry;
 import streamproxy.protocol.PassedOn;
 import streamproxy.protocol.PromptHeaders;
