--- /dev/null
+++ b/decision/src/main/java/streamproxy/limits/PoolLimits.java
@@ -0,0 +1,71 @@
+package streamproxy.limits;
+
+/**
+ * How many connections one model box is asked to hold and to open. A box tells nowhere how many it accepts: it shows in
+ * connections that are refused or never come up, so the limit follows from those, and is tried again step by step.
+ * Connections being opened cost a box work, so only so many are opened at a time. Times are nanoseconds of the caller's
+ * clock. Not thread-safe.
+ */
+public final class PoolLimits {
+    /** After a refused connection the box is held to hold no more than so much of what was open then. */
+    private static final double BACK_OFF = 0.9;
+    /** How long a limit that was learned stands before it is tried for more, and what is added then. */
+    private static final long TRY_AGAIN_NS = 5_000_000_000L;
+    private static final double GROW = 0.1;
+    /** A refusal with fewer open than this tells that the box is down, not that it is full. */
+    private static final int FEW = 16;
+
+    private int connectingMost;
+    private int learned = Integer.MAX_VALUE;
+    private long learnedAt;
+    private int open;
+    private int connecting;
+
+    /** At most so many at a time are being opened; {@link Integer#MAX_VALUE} where that is not limited. */
+    public PoolLimits(int connectingMost) { this.connectingMost = connectingMost; }
+
+    /** Another limit from now on. */
+    public void change(int newConnectingMost) { connectingMost = newConnectingMost; }
+
+    /** Whether one more may be opened now; if so it counts as being opened. */
+    public boolean tryOpen(long now) {
+        if (!mayOpen(now)) {
+            return false;
+        }
+        connecting++;
+        open++;
+        return true;
+    }
+
+    /** Whether one more may be opened now. */
+    public boolean mayOpen(long now) {
+        if (learned != Integer.MAX_VALUE && now - learnedAt > TRY_AGAIN_NS) {
+            learned = (int) Math.min(Integer.MAX_VALUE, learned + Math.max(1, (long) (GROW * learned)));
+            learnedAt = now;
+        }
+        return connecting < connectingMost && open < learned;
+    }
+
+    /** One that was being opened is open. */
+    public void opened() { connecting--; }
+
+    /** One that was being opened could not be; {@code refused} where the box itself said so, or never answered. */
+    public void notOpened(boolean refused, long now) {
+        connecting--;
+        open--;
+        if (refused && open >= FEW) {
+            learned = (int) Math.max(FEW, BACK_OFF * open);
+            learnedAt = now;
+        }
+    }
+
+    /** One that was open is closed. */
+    public void closed() { open--; }
+
+    public int open() { return open; }
+
+    public int connecting() { return connecting; }
+
+    /** What the box is held to hold at most; {@link Integer#MAX_VALUE} where it has refused none. */
+    public int learned() { return learned; }
+}
--- /dev/null
+++ b/lab/src/main/java/streamproxy/lab/RouterProcess.java
@@ -0,0 +1,169 @@
+package streamproxy.lab;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A router's process, started as the deploy file starts it, and what the system tells of it. */
+final class RouterProcess implements AutoCloseable {
+    private static final long START_MS = 30_000;
+    private static final int TICKS_PER_S = 100; // of /proc's CPU times, as Linux has it
+
+    private final Process process;
+    private final InetSocketAddress address;
+    private final List<Path> files;
+
+    private RouterProcess(Process process, InetSocketAddress address, List<Path> files) {
+        this.process = process;
+        this.address = address;
+        this.files = files;
+    }
+
+    /**
+     * Starts a router and waits until it is ready.
+     *
+     * @param jar        the router's jar
+     * @param flags      flags of its JVM, in one line
+     * @param descriptors the most that it may hold, as its configuration says
+     * @param operator   the text of its operator's file
+     * @param fleet      the stand-ins that it serves from
+     */
+    static RouterProcess start(Path jar, String flags, int descriptors, int memoryMb, String operator, StandIns fleet)
+            throws IOException, InterruptedException {
+        Path config = Files.createTempFile("streamproxy-lab", ".json");
+        Path ini = Files.createTempFile("streamproxy-lab", ".ini");
+        Path log = Files.createTempFile("streamproxy-lab", ".log");
+        Files.writeString(config, fleet.configuration(descriptors, memoryMb));
+        Files.writeString(ini, operator);
+        InetSocketAddress address = free();
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        command.addAll(Arrays.stream(flags.split(" ")).filter(flag -> !flag.isBlank()).toList());
+        command.addAll(List.of("-jar", jar.toString(), "serve", "--operator", ini.toString()));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
+        builder.environment().put("NODE_NAME", "lab");
+        builder.environment().put("NODE_LISTEN", "127.0.0.1:" + address.getPort());
+        builder.environment().put("NODE_DISCOVERY", fleet.listAddress());
+        builder.environment().put("NODE_CONFIG", config.toString());
+        RouterProcess router = new RouterProcess(builder.start(), address, List.of(config, ini, log));
+        try {
+            router.awaitReady();
+            return router;
+        } catch (IOException | InterruptedException e) {
+            router.close();
+            throw e;
+        }
+    }
+
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    private void awaitReady() throws IOException, InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MS);
+        while (System.nanoTime() < until) {
+            if (!process.isAlive()) {
+                throw new IOException("the router ended: " + log());
+            }
+            try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+                socket.setSoTimeout((int) START_MS);
+                socket.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: lab\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                if (new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).endsWith("200")) {
+                    return;
+                }
+            } catch (IOException e) {
+                // not there yet
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        throw new IOException("the router was not ready in time: " + log());
+    }
+
+    private String log() throws IOException { return Files.readString(files.get(2)).strip(); }
+
+    InetSocketAddress address() { return address; }
+
+    long pid() { return process.pid(); }
+
+    boolean isAlive() { return process.isAlive(); }
+
+    /** Memory in use of the process, in KB; as a whole, kernel's sockets left out. */
+    long residentKb() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc", String.valueOf(pid()), "status"))) {
+            if (line.startsWith("VmRSS:")) {
+                return Long.parseLong(line.replaceAll("\\D", ""));
+            }
+        }
+        throw new IOException("no VmRSS");
+    }
+
+    /** CPU time taken so far, in seconds. */
+    double cpuS() throws IOException {
+        String stat = Files.readString(Path.of("/proc", String.valueOf(pid()), "stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / (double) TICKS_PER_S;
+    }
+
+    int threads() throws IOException {
+        try (var tasks = Files.list(Path.of("/proc", String.valueOf(pid()), "task"))) {
+            return (int) tasks.count();
+        }
+    }
+
+    /** Bytes of the heap that live objects take: what a full collection leaves. */
+    long liveHeapBytes() throws IOException, InterruptedException {
+        jcmd("GC.run");
+        jcmd("GC.run");
+        String histogram = jcmd("GC.class_histogram");
+        Matcher total = Pattern.compile("Total\\s+\\d+\\s+(\\d+)").matcher(histogram);
+        if (!total.find()) {
+            throw new IOException("no total in the histogram: " + histogram.substring(0, Math.min(200, histogram.length())));
+        }
+        return Long.parseLong(total.group(1));
+    }
+
+    /** Bytes of the live objects of classes whose name begins so. */
+    long liveHeapBytes(String prefix) throws IOException, InterruptedException {
+        long bytes = 0;
+        Matcher row = Pattern.compile("^\\s*\\d+:\\s+\\d+\\s+(\\d+)\\s+(\\S+)", Pattern.MULTILINE).matcher(jcmd("GC.class_histogram"));
+        while (row.find()) {
+            bytes += row.group(2).startsWith(prefix) ? Long.parseLong(row.group(1)) : 0;
+        }
+        return bytes;
+    }
+
+    private String jcmd(String command) throws IOException, InterruptedException {
+        Process jcmd = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                String.valueOf(pid()), command).redirectErrorStream(true).start();
+        String out = new String(jcmd.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        if (jcmd.waitFor() != 0) {
+            throw new IOException("jcmd " + command + ": " + out.strip());
+        }
+        return out;
+    }
+
+    /** Ends the router and removes what was made for it. */
+    @Override public void close() throws IOException {
+        process.destroyForcibly();
+        try {
+            process.waitFor();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        for (Path file : files) {
+            Files.deleteIfExists(file);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/streamproxy/lab/StandIns.java
@@ -0,0 +1,166 @@
+package streamproxy.lab;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * Model boxes and their list that answer at once, so that what is measured is the router. A box answers each prompt with
+ * a few events in one go; the list names all boxes and has no news.
+ */
+final class StandIns implements AutoCloseable {
+    private static final int BACKLOG = 1024;
+    private static final byte[] STREAM = ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"table\"},\"finish_reason\":\"stop\"}]}\n\n")
+            + chunk("data: [DONE]\n\n") + "0\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] LOAD = answer("{\"lat_ms\":1,\"rif\":0,\"q\":0,\"x1\":0}");
+    private static final String SETTINGS = """
+            {"Me":0,"Balancers":1,"Az":0,"Areas":["a"],"Flavors":["k"],"Discovery":"on_request",
+             "Classes":[{"Name":"chat","GiveUp":4000000000,"Promise":3000000000,"Gain":1.0,"Group":"all",
+              "Idempotency":"safe","Stream":true,"Window":0}],
+             "Domain":{"AimUsPer1000PromptTokens":[0],"ReportX1":"thousands of prompt tokens waiting to be read",
+              "TokenAim":[50000000],"Resume":true},
+             "Guarantees":{"AskEvery":10000000000,"Fall":2000000000,"GraceToAnswer":20000000,"RampTime":24000000000,
+              "StartCapacity":0.12,"StopSendingWithin":500000000,"TipMultiple":2.5},
+             "Limits":{"Cancel":true,"ConnectTimeout":500000000,"Keepalive":60000000000,"MaxAttempts":3,
+              "MaxRetryAfter":2000000000,"Probes":true,"RetryAfter":true,"SecondCopies":true},
+             "Report":{"Fields":["lat_ms","rif","q","x1"],"Source":"pull"},"Tenants":[]}""";
+
+    /** What is done with one request; true while the connection goes on. */
+    private interface Script {
+        boolean answer(String head, OutputStream out) throws IOException, InterruptedException;
+    }
+
+    private final List<ServerSocket> boxes = new ArrayList<>();
+    private final ServerSocket list;
+    private final AtomicLong served = new AtomicLong();
+    private final AtomicInteger connections = new AtomicInteger();
+
+    StandIns(int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            boxes.add(open(this::box));
+        }
+        list = open(this::list);
+    }
+
+    private ServerSocket open(Script script) throws IOException {
+        ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+        thread(() -> accept(server, script));
+        return server;
+    }
+
+    private static void thread(Runnable work) {
+        Thread thread = new Thread(null, work, "stand-in", 128 * 1024);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept(ServerSocket server, Script script) {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                connections.incrementAndGet();
+                thread(() -> serve(socket, script));
+            }
+        } catch (IOException e) {
+            // it is over
+        }
+    }
+
+    private static void serve(Socket socket, Script script) {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            String head = head(in);
+            while (head != null && script.answer(head, socket.getOutputStream())) {
+                head = head(in);
+            }
+        } catch (IOException e) {
+            // the router has closed
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Reads a head and the body that it tells of; null at the end. */
+    private static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder(256);
+        while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
+            int c = in.read();
+            if (c < 0) {
+                return null;
+            }
+            head.append((char) c);
+        }
+        int at = head.indexOf("Content-Length: ");
+        if (at >= 0) {
+            in.skipNBytes(Integer.parseInt(head.substring(at + 16, head.indexOf("\r", at))));
+        }
+        return head.toString();
+    }
+
+    private boolean box(String head, OutputStream out) throws IOException {
+        boolean probe = head.startsWith("GET ");
+        out.write(probe ? LOAD : STREAM);
+        served.addAndGet(probe ? 0 : 1);
+        return true;
+    }
+
+    private boolean list(String head, OutputStream out) throws IOException, InterruptedException {
+        if (!head.contains("follow=1")) {
+            out.write(answer(all()));
+            return true;
+        }
+        out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        out.write(chunk(all() + "\n").getBytes(StandardCharsets.US_ASCII));
+        while (true) {
+            Thread.sleep(2000);
+            out.write(chunk("\n").getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    private String all() {
+        return IntStream.range(0, boxes.size()).mapToObj(i -> "{\"uid\":\"s-" + i + "\",\"endpoint\":\"127.0.0.1:"
+                + boxes.get(i).getLocalPort() + "\",\"az\":\"a\",\"model\":\"k\",\"pod_group\":0,\"state\":\"ready\","
+                + "\"capacity_hint\":1.0,\"boot_ms\":0}").collect(Collectors.joining(",", "{\"rev\":1,\"all\":true,\"targets\":[", "]}"));
+    }
+
+    private static String chunk(String text) { return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n"; }
+
+    private static byte[] answer(String text) {
+        return ("HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text).getBytes(StandardCharsets.US_ASCII);
+    }
+
+    String listAddress() { return "127.0.0.1:" + list.getLocalPort(); }
+
+    /** What a router is told that serves from these. */
+    String configuration(int descriptors, int memoryMb) {
+        return "{\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + descriptors + ",\"memory_mb\":" + memoryMb
+                + "},\"known\":" + all() + ",\"settings\":" + SETTINGS + "}";
+    }
+
+    /** Prompts answered so far. */
+    long served() { return served.get(); }
+
+    /** Connections that the router has opened so far, to the boxes and the list. */
+    int connections() { return connections.get(); }
+
+    @Override public void close() throws IOException {
+        for (ServerSocket box : boxes) {
+            box.close();
+        }
+        list.close();
+    }
+}
--- a/router/src/main/java/streamproxy/program/Main.java
+++ b/router/src/main/java/streamproxy/program/Main.java
@@ -1,61 +1,46 @@
 package streamproxy.program;
 
 import java.io.IOException;
-import java.util.concurrent.Semaphore;
-import org.tinylog.Logger;
 import streamproxy.benchlink.BenchLink;
-import streamproxy.protocol.NodeConfig;
 import streamproxy.decision.SettingsText;
+import streamproxy.protocol.NodeConfig.Unusable;
+import streamproxy.protocol.OperatorFile;
 
-/** Command-line entry: {@code serve} runs one router, {@code benchlink} the module on the simulator's wire. */
+/**
+ * Command-line entry. {@code serve} and {@code benchlink} without options run at once; anything else goes through
+ * {@link Commands}, whose library takes longer to read its annotations than a router does to start: 0.43 s in place of
+ * 0.13 s on one core, which a planned restart would lose.
+ */
 public final class Main {
-    private static final int USAGE = 2;
-    private static final int UNUSABLE = 3;
+    static final int USAGE = 2;
+    static final int UNUSABLE = 3;
 
     private Main() { }
 
-    public static void main(String[] args) throws IOException {
-        String command = args.length == 1 ? args[0] : "";
-        switch (command) {
-            case "benchlink" -> System.exit(BenchLink.run(System.in, System.out, System.err));
-            case "serve" -> serve();
-            default -> {
-                System.err.println("usage: java -jar streamproxy.jar serve|benchlink");
-                System.exit(USAGE);
-            }
-        }
+    public static void main(String[] words) throws Exception {
+        System.exit(run(words));
     }
 
-    private static void serve() {
-        Semaphore hangUps = new Semaphore(0);
-        HangUp.then(hangUps::release); // first of all: unhandled, SIGHUP ends a JVM
-        Router router;
-        try {
-            router = new Router(NodeConfig.read(System.getenv()));
-        } catch (NodeConfig.Unusable | SettingsText.Missing | IllegalArgumentException | IOException e) {
-            System.err.println("streamproxy: " + String.valueOf(e.getMessage()).replace('\n', ' '));
-            System.exit(UNUSABLE);
-            return;
-        }
-        Thread.setDefaultUncaughtExceptionHandler((thread, e) -> Logger.error(e, "in thread {}", thread.getName()));
-        // SIGTERM runs this hook; other threads go on until it is done, and the exit code is 0 then.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                router.leave();
-            } catch (IOException | InterruptedException | RuntimeException e) {
-                Logger.error(e, "leaving");
-            }
-            Runtime.getRuntime().halt(0);
-        }, "leaving"));
-        router.start();
+    private static int run(String[] words) throws Exception {
+        String only = words.length == 1 ? words[0] : "";
         try {
-            while (true) { // other threads do the work, until a signal ends the program
-                hangUps.acquire();
-                hangUps.drainPermits(); // what is read now is as new as the last of them wants
-                router.reload(() -> NodeConfig.discoveryInFile(System.getenv()));
-            }
-        } catch (InterruptedException e) {
-            Logger.info("interrupted");
+            return switch (only) {
+                case "serve" -> Serving.run(() -> OperatorFile.NONE);
+                case "benchlink" -> BenchLink.run(System.in, System.out, System.err);
+                default -> Commands.run(words);
+            };
+        } catch (Unusable | SettingsText.Missing | IllegalArgumentException | IOException e) {
+            System.err.println(unusable(e));
+            return UNUSABLE;
         }
     }
+
+    /** Whether a command failed since its configuration cannot be used. */
+    static boolean isUnusable(Exception e) {
+        return e instanceof Unusable || e instanceof SettingsText.Missing || e instanceof IllegalArgumentException
+                || e instanceof IOException;
+    }
+
+    /** Why, in one line. */
+    static String unusable(Exception e) { return "streamproxy: " + String.valueOf(e.getMessage()).replace('\n', ' '); }
 }
--- a/router/src/main/java/streamproxy/protocol/HttpWriter.java
+++ b/router/src/main/java/streamproxy/protocol/HttpWriter.java
@@ -25,13 +25,18 @@
 
     /** A whole answer; extra fields come as complete lines. */
     public void answer(int status, String text, boolean close, String... fields) throws IOException {
+        to.write(whole(status, text, close, fields));
+    }
+
+    /** The bytes of a whole answer, for whoever writes them otherwise. */
+    public static byte[] whole(int status, String text, boolean close, String... fields) {
         StringBuilder head = new StringBuilder("HTTP/1.1 ").append(status).append(' ')
                 .append(REASONS.getOrDefault(status, "Status")).append("\r\nContent-Type: text/plain\r\n");
         for (String field : fields) {
             head.append(field).append("\r\n");
         }
         head.append(close ? "Connection: close\r\n" : "").append("Content-Length: ").append(text.length());
-        to.write(ascii(head.append("\r\n\r\n").append(text).toString()));
+        return ascii(head.append("\r\n\r\n").append(text).toString());
     }
 
     /** The head of a stream of events together with the first of them. */
--- a/router/src/main/java/streamproxy/protocol/NodeConfig.java
+++ b/router/src/main/java/streamproxy/protocol/NodeConfig.java
@@ -15,7 +15,7 @@
     public static final class Unusable extends Exception {
         private static final long serialVersionUID = 1L;
 
-        Unusable(String why) { super(why); }
+        public Unusable(String why) { super(why); }
     }
 
     public static NodeConfig read(Map<String, String> environment) throws Unusable {
--- /dev/null
+++ b/router/src/main/java/streamproxy/protocol/OperatorFile.java
@@ -0,0 +1,128 @@
+package streamproxy.protocol;
+
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import streamproxy.limits.ConnectionLimits;
+import streamproxy.protocol.NodeConfig.Unusable;
+
+/**
+ * What the operator of an installation sets beyond what the platform tells: a file of sections and keys (INI).
+ * {@code deploy/streamproxy.ini} has them all. What is unknown, set twice, out of range or no number is refused with the
+ * file, the line, the section and the key. {@link OperatorReader} reads it.
+ */
+public final class OperatorFile {
+    /** All keys that there are; a default of 0 leaves the figure to the deployment's limits. */
+    public enum Key {
+        /** Connections that clients may hold, idle and active together. */
+        CLIENTS_MOST("connections", 1, 1_000_000, 0, true),
+        /** Of these, the ones with a request under way. */
+        ACTIVE_MOST("connections", 1, 100_000, 0, true),
+        /** Connections from one address. */
+        CLIENTS_PER_ADDRESS("connections", 1, 1_000_000, 0, true),
+        /** Connections taken in a second. */
+        ACCEPTS_PER_S("connections", 1, 1_000_000, 0, true),
+        /** Seconds for which one that was served waits for its next request. */
+        CLIENT_IDLE_S("connections", 0.1, 86_400, 3, false),
+        /** Seconds for which one waits for its first request. */
+        CLIENT_MUTE_S("connections", 0.1, 86_400, 2, false),
+        /** Connections that are being opened to one model box at a time. */
+        CONNECTING_MOST("boxes", 1, 10_000, 0, true);
+
+        private final String section;
+        private final double least;
+        private final double most;
+        private final double otherwise;
+        private final boolean whole;
+
+        Key(String section, double least, double most, double otherwise, boolean whole) {
+            this.section = section;
+            this.least = least;
+            this.most = most;
+            this.otherwise = otherwise;
+            this.whole = whole;
+        }
+
+        public String section() { return section; }
+
+        /** The key as it is written. */
+        public String word() { return name().toLowerCase(Locale.ROOT); }
+
+        /** What holds where the file does not say; 0 for what the deployment's limits come to. */
+        public double otherwise() { return otherwise; }
+
+        double least() { return least; }
+
+        double most() { return most; }
+
+        boolean whole() { return whole; }
+
+        String range() { return figure(least) + " to " + figure(most); }
+
+        /** A figure as it is written: without a fraction where it has none. */
+        public String figure(double value) {
+            return value == Math.rint(value) ? String.valueOf((long) value) : String.valueOf(value);
+        }
+    }
+
+    /** No file: everything is as the deployment says. */
+    public static final OperatorFile NONE = new OperatorFile("", "", new EnumMap<>(Key.class));
+
+    private final String name;
+    private final String text;
+    private final Map<Key, Double> set;
+
+    OperatorFile(String name, String text, Map<Key, Double> set) {
+        this.name = name;
+        this.text = text;
+        this.set = set;
+    }
+
+    /** What is wrong with a key, in one line with where it stands. */
+    public Unusable unusable(String section, String key, String why) {
+        String what = section == null ? "" : key == null ? " [" + section + "]:" : " [" + section + "] " + key + ":";
+        return new Unusable(name + ": line " + lineOf(section, key) + ":" + what + " " + why);
+    }
+
+    /** Whether the file sets the key of that word. */
+    public boolean says(String word) { return set.keySet().stream().anyMatch(key -> key.word().equals(word)); }
+
+    /** The library tells no lines; the last place that sets the key is the one that a reader looks for. */
+    private int lineOf(String section, String key) {
+        String in = null;
+        int found = 1;
+        int number = 0;
+        for (String line : text.lines().toList()) {
+            number++;
+            String stripped = line.strip();
+            if (stripped.startsWith("[") && stripped.endsWith("]")) {
+                in = stripped.substring(1, stripped.length() - 1);
+                found = key == null && in.equals(section) ? number : found;
+            } else if (section == null ? in == null && isKey(stripped) && found == 1
+                    : key != null && section.equals(in) && word(stripped).equals(key)) {
+                found = number;
+            }
+        }
+        return found;
+    }
+
+    private static boolean isKey(String line) { return !line.isEmpty() && !line.startsWith(";") && !line.startsWith("#"); }
+
+    private static String word(String line) {
+        int end = 0;
+        while (end < line.length() && line.charAt(end) != '=' && line.charAt(end) != ':') {
+            end++;
+        }
+        return line.substring(0, end).strip();
+    }
+
+    /** What is set, or what holds else. */
+    public double get(Key key) { return set.getOrDefault(key, key.otherwise); }
+
+    /** What the file wishes for connections. */
+    public ConnectionLimits.Wishes connections() {
+        return new ConnectionLimits.Wishes((int) get(Key.CLIENTS_MOST), (int) get(Key.ACTIVE_MOST),
+                (int) get(Key.CLIENTS_PER_ADDRESS), get(Key.ACCEPTS_PER_S), (int) get(Key.CONNECTING_MOST),
+                get(Key.CLIENT_IDLE_S), get(Key.CLIENT_MUTE_S));
+    }
+}
--- a/router/src/main/java/streamproxy/routing/Attempt.java
+++ b/router/src/main/java/streamproxy/routing/Attempt.java
@@ -1,6 +1,7 @@
 package streamproxy.routing;
 
 import java.util.concurrent.atomic.AtomicReference;
+import streamproxy.timing.TimerWheel;
 import streamproxy.transport.Connection;
 
 /** One sending of a request to one model box. */
@@ -13,6 +14,7 @@
     final long sentAt;
     final long endsAt;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.OUT);
+    TimerWheel.Timer timeOut; // the module's actor alone touches it
     private volatile Connection connection;
 
     Attempt(Request request, int number, long boxId, long sentAt, long endsAt) {
--- a/router/src/main/java/streamproxy/routing/BoxConnection.java
+++ b/router/src/main/java/streamproxy/routing/BoxConnection.java
@@ -5,6 +5,8 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 import streamproxy.protocol.BadMessage;
 import streamproxy.protocol.EventStream;
@@ -15,11 +17,13 @@
 import streamproxy.protocol.PassedOn;
 import streamproxy.decision.Routing.LoadReport;
 import streamproxy.decision.Routing.Outcome;
+import streamproxy.limits.Ring;
 import streamproxy.transport.Connection;
+import streamproxy.transport.QuietConnections;
 import streamproxy.transport.Threads;
 
 /** One connection to a model box, and the thread that connects, writes and reads on it while it has an errand. */
-final class BoxConnection {
+final class BoxConnection extends Ring.Link implements QuietConnections.Owner {
     /** An attempt to carry, or, where that is null, a probe asked for at that time. */
     record Errand(Attempt attempt, long probeAt) { }
 
@@ -36,19 +40,20 @@
     private final ModelBox box;
     private final Connection connection;
     private final InetSocketAddress to;
-    private final HttpReader reader;
-    private final HttpWriter writer;
+    private HttpReader reader; // none while it is idle, as is the next
+    private HttpWriter writer;
     private boolean connected;
+    private boolean refused;
+    private final AtomicBoolean counted = new AtomicBoolean(); // its end was told to the box
     private boolean answered;
     private long idleNs; // before this errand; 0 for a new connection
     private volatile long idleSince;
+    private QuietConnections.Watch watch; // the box's actor alone touches it
 
     BoxConnection(ModelBox box, Connection connection, InetSocketAddress to) {
         this.box = box;
         this.connection = connection;
         this.to = to;
-        reader = new HttpReader(connection);
-        writer = new HttpWriter(connection);
     }
 
     /** Runs an errand on a thread of its own; between errands the connection needs none. False where none is to be had. */
@@ -58,13 +63,37 @@
             return true;
         } catch (OutOfMemoryError e) {
             Logger.warn(e, "no thread for a connection to a box");
-            connection.close();
+            close();
             return false;
         }
     }
 
-    /** Ends an idle connection. */
-    void dismiss() { connection.close(); }
+    /** Ends an idle connection that nobody watches. */
+    void dismiss() { close(); }
+
+    private void close() {
+        connection.close();
+        if (counted.compareAndSet(false, true)) {
+            box.closed(connected, refused);
+        }
+    }
+
+    // ---- At rest ------------------------------------------------------------------------------------
+
+    /** Has it watched until that time on the box's clock: the box may close it, or say what nobody asked for. */
+    void watchUntil(long until) { watch = box.quiet.add(connection, System.nanoTime() + until - box.clock.now(), this); }
+
+    /** Ends the watch, and tells on another thread whether the connection may still be used. */
+    void wake(Consumer<Boolean> then) {
+        box.quiet.release(watch, then);
+        watch = null;
+    }
+
+    @Override public void arrived() { box.over(this); } // it said what nobody asked for
+
+    @Override public void over() { box.over(this); }
+
+    // ---- Errands ------------------------------------------------------------------------------------
 
     InetSocketAddress to() { return to; }
 
@@ -76,6 +105,8 @@
     private void carryOut(Errand errand) {
         boolean keep = false;
         answered = false;
+        reader = new HttpReader(connection);
+        writer = new HttpWriter(connection);
         idleNs = connected ? box.clock.now() - idleSince : 0;
         try {
             keep = errand.attempt == null ? probe(errand.probeAt) : carry(errand.attempt);
@@ -85,17 +116,25 @@
                     box.keptWell();
                 }
                 idleSince = box.clock.now();
+                reader = null;
+                writer = null;
                 box.idle(this);
             } else {
-                connection.close();
+                close();
             }
         }
     }
 
     private void connect() throws IOException {
         if (!connected) {
-            connection.connect(to, box.deployment.connectTimeoutNs());
+            try {
+                connection.connect(to, box.deployment.connectTimeoutNs());
+            } catch (IOException e) {
+                refused = !connection.isClosed(); // else it was called off
+                throw e;
+            }
             connected = true;
+            box.opened();
         }
     }
 
--- a/router/src/main/java/streamproxy/routing/ClientConnections.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnections.java
@@ -1,55 +1,193 @@
 package streamproxy.routing;
 
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.BooleanSupplier;
+import org.tinylog.Logger;
+import streamproxy.limits.Admission;
+import streamproxy.limits.ComeBack;
+import streamproxy.limits.ConnectionLimits;
+import streamproxy.limits.Pace;
+import streamproxy.protocol.HttpWriter;
+import streamproxy.transport.Budget;
 import streamproxy.transport.Connection;
+import streamproxy.transport.Listener;
+import streamproxy.transport.QuietConnections;
+import streamproxy.transport.Timers;
 
-/** The connections that clients hold, and which of them makes room where places are short. */
-public final class ClientConnections {
-    private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
-    private final ClientConnection.Desk desk;
+/**
+ * The connections that clients hold. It carries out what {@link Admission} decides: who is taken, who makes room, who is
+ * told to come back. Nothing here looks at all connections, but for one look when the program leaves.
+ */
+public final class ClientConnections implements Listener.Gate {
+    /**
+     * What all clients' connections of the program share.
+     *
+     * @param comeBackMostNs the longest wait that clients heed, in nanoseconds; 0 where they are told none
+     */
+    public record Desk(ModuleActor module, Clock clock, List<String> classes, List<String> tenants, Budget bodyBytes,
+            TakenIds taken, QuietConnections quiet, Timers timers, BooleanSupplier ready, BooleanSupplier leaving,
+            ComeBack comeBack, long comeBackMostNs) {
+        /** The field that tells a client for which there is no room when to come back; none where it may not be told. */
+        String[] later() {
+            long now = System.nanoTime();
+            long after;
+            synchronized (comeBack) {
+                after = comeBack.after(now, Double.POSITIVE_INFINITY, comeBackMostNs);
+            }
+            return after == 0 ? new String[0] : new String[] {retryAfter(after)};
+        }
 
-    public ClientConnections(ClientConnection.Desk desk) { this.desk = desk; }
+        static String retryAfter(long ns) { return "Retry-After: " + String.format(Locale.ROOT, "%.3f", ns / SECOND); }
+    }
 
-    /** Serves what comes on a connection. */
-    public void take(Connection connection) {
-        ClientConnection client = new ClientConnection(connection, desk, open::remove);
-        open.add(client);
-        client.awaitRequest();
+    static final byte[] NOTHING = {};
+    private static final double SECOND = 1e9;
+    private static final long MS = 1_000_000L;
+    /** Under pressure a request that has been coming for so long is given up for others. */
+    private static final long SLOW = 500 * MS;
+    /** How long a client that is turned away may take to read why. */
+    private static final long PARTING = 1_000 * MS;
+    /** How soon is looked again where every place is held by a request under way. */
+    private static final long FULL_LOOK = 20 * MS;
+
+    private final Desk desk;
+    private final Admission admission;
+    private final Pace pace;
+    private boolean finishing;
+
+    public ClientConnections(Desk desk, ConnectionLimits limits) {
+        this.desk = desk;
+        admission = new Admission(limits, SLOW);
+        pace = new Pace(limits.acceptsPerS(), System.nanoTime());
     }
 
-    /**
-     * Closes the connection that can best be spared, so that clients that hold connections without a request cannot
-     * shut others out; false where every one has a request in work.
-     */
-    public boolean makeRoom() {
-        for (ClientConnection best = best(); best != null; best = best()) {
-            if (best.spareFor()) {
+    Desk desk() { return desk; }
+
+    /** Other limits from now on; what is held beyond them stays until it ends by itself. */
+    public synchronized void change(ConnectionLimits limits) {
+        admission.change(limits);
+        pace.change(limits.acceptsPerS());
+    }
+
+    /** How many are held, and how often room was short. */
+    public synchronized Admission.Counts counts() { return admission.counts(); }
+
+    // ---- The listener's gate ------------------------------------------------------------------------
+
+    @Override public synchronized long waitNs() {
+        long now = System.nanoTime();
+        return admission.isFull() && admission.spare(now) == null ? FULL_LOOK : pace.take(now);
+    }
+
+    @Override public void comes(Connection connection) {
+        ClientConnection client = new ClientConnection(connection, this);
+        Admission.Newcomer verdict;
+        do {
+            synchronized (this) {
+                verdict = admission.comes(client, connection.from(), System.nanoTime());
+            }
+        } while (verdict == Admission.Newcomer.AFTER_ANOTHER && makeRoom());
+        switch (verdict) {
+            case TAKEN -> client.awaitRequest();
+            case ADDRESS_FULL -> connection.close();
+            default -> client.turnAway(); // the last place went to a request meanwhile
+        }
+    }
+
+    @Override public void outOfDescriptors() {
+        int most;
+        synchronized (this) {
+            most = admission.outOfDescriptors();
+        }
+        Logger.warn("no descriptor is left: clients hold no more than {} from now on", most);
+        while (isOver(most) && makeRoom()) {
+            continue;
+        }
+    }
+
+    private synchronized boolean isOver(int most) { return admission.held() > most; }
+
+    /** Closes the connection that can best be spared; false where every one has a request under way. */
+    private boolean makeRoom() {
+        while (true) {
+            ClientConnection best;
+            synchronized (this) {
+                best = (ClientConnection) admission.spare(System.nanoTime());
+            }
+            if (best == null) {
+                return false;
+            }
+            if (best.spare()) {
+                synchronized (this) {
+                    admission.noteSpared();
+                }
                 return true;
             }
+            synchronized (this) {
+                admission.keeps(best); // a request has come on it at this moment
+            }
+        }
+    }
+
+    // ---- What connections tell ----------------------------------------------------------------------
+
+    QuietConnections.Watch watch(ClientConnection client, long since) {
+        long patience;
+        synchronized (this) {
+            patience = finishing ? 0 : admission.patienceNs(client);
+        }
+        return desk.quiet.add(client.connection(), since + patience, client);
+    }
+
+    synchronized boolean asks(ClientConnection client) { return admission.asks(client, System.nanoTime()); }
+
+    synchronized void whole(ClientConnection client) { admission.keeps(client); }
+
+    synchronized void asksAgain(ClientConnection client) { admission.asksAgain(client, System.nanoTime()); }
+
+    void rests(ClientConnection client) {
+        synchronized (this) {
+            admission.rests(client, System.nanoTime());
+        }
+        client.awaitRequest();
+    }
+
+    /** Lets a connection go after its last word; its place is free once it is closed, its thread at once. */
+    void part(ClientConnection client, byte[] lastWord) {
+        synchronized (this) {
+            admission.parts(client);
         }
-        return false;
+        desk.quiet.part(client.connection(), lastWord, System.nanoTime() + PARTING, () -> ended(client, null));
     }
 
-    private ClientConnection best() {
-        ClientConnection best = null;
-        long gladly = -1;
-        for (ClientConnection client : open) {
-            long now = client.spareable();
-            if (now > gladly) {
-                best = client;
-                gladly = now;
+    void ended(ClientConnection client, QuietConnections.Watch watch) {
+        if (watch != null) {
+            desk.quiet.letGo(watch);
+        }
+        synchronized (this) {
+            admission.ends(client);
+            if (admission.held() == 0) {
+                notifyAll();
             }
         }
-        return best;
     }
 
-    /** Closes those of clients that do not read their answers. */
-    public void closeStalled() { open.forEach(ClientConnection::closeIfStalled); }
+    /** What a client is told for which there is no room. */
+    byte[] tooMuch() { return HttpWriter.whole(503, "too much at once", true, desk.later()); }
+
+    // ---- Leaving ------------------------------------------------------------------------------------
 
-    /** Closes those that wait for a request; true once none is left. */
-    public boolean closeWaiting() {
-        open.forEach(ClientConnection::closeIfWaiting);
-        return open.isEmpty();
+    /** Closes those that wait for a request, then waits until all others are answered and closed. */
+    public void finish() throws InterruptedException {
+        synchronized (this) {
+            finishing = true; // who rests from now on has no time left
+        }
+        desk.quiet.endAll(owner -> owner instanceof ClientConnection);
+        synchronized (this) {
+            while (admission.held() > 0) {
+                wait();
+            }
+        }
     }
 }
--- /dev/null
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -0,0 +1,244 @@
+package streamproxy.routing;
+
+import java.io.IOException;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+import streamproxy.protocol.BadMessage;
+import streamproxy.protocol.HttpHead;
+import streamproxy.protocol.HttpReader;
+import streamproxy.protocol.HttpWriter;
+import streamproxy.protocol.Json;
+import streamproxy.protocol.PassedOn;
+import streamproxy.protocol.PromptHeaders;
+import streamproxy.timing.TimerWheel;
+import streamproxy.transport.Connection;
+
+/**
+ * The actor of a client's request: from its first byte to its answer's last it has a thread, which reads the request,
+ * hands it to the module's actor, and then takes the answer from its mailbox and writes it, looking meanwhile whether
+ * the client is still there. Requests right behind it on the same connection are served by the same.
+ */
+final class Exchange implements Client {
+    private enum Kind { EVENT, ENDED, BROKEN, REFUSED, FAILED }
+
+    private record Letter(Kind kind, byte[] event, long retryAfterNs) { }
+
+    /** Closes the connection of a client that does not read its answer; else it would hold its thread for ever. */
+    private final class Stall extends TimerWheel.Timer {
+        @Override protected void due(long now) {
+            if (connection.stalled(STALLED)) {
+                connection.close();
+            } else {
+                desk.timers().set(this, STALL_LOOK);
+            }
+        }
+    }
+
+    private static final String PATH = "/v1/chat/completions";
+    private static final long MS = 1_000_000L;
+    /** How often the client's side is looked at while its request waits. */
+    private static final long LOOK = 100 * MS;
+    /** Events that wait for a slow client, and how long they may. */
+    private static final int MAILBOX = 64;
+    private static final long SLOWEST = 5_000 * MS;
+    /** How long a write may be kept waiting, and how often that is looked at. */
+    private static final long STALLED = 2 * SLOWEST;
+    private static final long STALL_LOOK = 1_000 * MS;
+
+    private final ClientConnection at;
+    private final Connection connection;
+    private final ClientConnections.Desk desk;
+    private final HttpReader reader;
+    private final HttpWriter writer;
+    private final BlockingQueue<Letter> mailbox = new ArrayBlockingQueue<>(MAILBOX);
+    private final Stall stall = new Stall();
+    private volatile boolean gone;
+
+    Exchange(ClientConnection at, Connection connection, ClientConnections.Desk desk) {
+        this.at = at;
+        this.connection = connection;
+        this.desk = desk;
+        reader = new HttpReader(connection);
+        writer = new HttpWriter(connection);
+    }
+
+    /** Serves the request that has begun to come, and those right behind it. */
+    void serve() {
+        boolean goesOn = false;
+        boolean parts = false;
+        desk.timers().set(stall, STALL_LOOK);
+        try {
+            do {
+                goesOn = false; // whatever ends this request early ends the connection
+                goesOn = serveOne();
+                at.answered();
+            } while (goesOn && connection.holdsMore() && at.readsAgain());
+        } catch (BadMessage e) {
+            parts = reject(e);
+        } catch (IOException e) {
+            Logger.debug(e, "a client's connection ended");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            desk.timers().end(stall);
+            gone = !goesOn;
+            if (goesOn) {
+                at.rest();
+            } else if (parts) {
+                at.part();
+            } else {
+                at.end();
+            }
+        }
+    }
+
+    private boolean reject(BadMessage e) {
+        try {
+            writer.answer(e.status(), e.getMessage(), true, e.status() == 503 ? desk.later() : new String[0]);
+            return true;
+        } catch (IOException lost) {
+            Logger.debug(lost, "a client left before it heard of its mistake");
+            return false;
+        }
+    }
+
+    private boolean serveOne() throws IOException, InterruptedException {
+        long by = at.wholeBy();
+        HttpHead head = reader.request(by);
+        boolean prompt = head.path().equals(PATH);
+        if (!prompt && !head.path().equals("/ready")) {
+            throw new BadMessage(404, "no such path");
+        }
+        if (!head.method().equals(prompt ? "POST" : "GET")) {
+            throw new BadMessage(405, "no such method here");
+        }
+        if (prompt && head.get("Content-Length") == null && !head.chunked()) {
+            throw new BadMessage(411, "no length");
+        }
+        if (!prompt) {
+            reader.body(head, by);
+            at.whole();
+            boolean ready = desk.ready().getAsBoolean();
+            return say(ready ? 200 : 503, ready ? "ready" : "not ready", head);
+        }
+        int size = reader.bodySize(head);
+        PromptHeaders prompted = PromptHeaders.read(head);
+        int clazz = desk.classes().indexOf(prompted.clazz());
+        if (clazz < 0) {
+            throw new BadMessage(400, "Req-Kind is unknown");
+        }
+        if (!desk.bodyBytes().tryTake(size, 0)) {
+            // Short of memory: turned away before its body takes any.
+            throw new BadMessage(503, "too much at once");
+        }
+        try {
+            return takeOn(head, prompted, clazz, by);
+        } finally {
+            desk.bodyBytes().giveBack(size);
+        }
+    }
+
+    private boolean takeOn(HttpHead head, PromptHeaders prompted, int clazz, long by)
+            throws IOException, InterruptedException {
+        if ("100-continue".equalsIgnoreCase(head.get("Expect"))) {
+            writer.goOn();
+        }
+        byte[] body = reader.body(head, by);
+        if (!Json.isObject(body)) {
+            throw new BadMessage(400, "the body is no JSON object"); // a wrong length has cut it, or added to it
+        }
+        if (!at.whole()) {
+            return false; // given up for others meanwhile
+        }
+        if (!desk.taken().add(prompted.id())) {
+            throw new BadMessage(409, "Req-Id is taken"); // a box would see a second copy of that request
+        }
+        Request request = new Request(prompted, clazz, Math.max(0, desk.tenants().indexOf(prompted.tenant())),
+                new PassedOn(head.method(), head.target(), prompted.id(), body), this, desk.clock().now());
+        if (!desk.module().taken(request)) {
+            return say(503, "too much at once", head, desk.later());
+        }
+        return answer(request, head);
+    }
+
+    private boolean answer(Request request, HttpHead head) throws IOException, InterruptedException {
+        boolean begun = false;
+        try {
+            while (true) {
+                Letter letter = mailbox.poll(LOOK, TimeUnit.NANOSECONDS);
+                if (letter == null) {
+                    if (connection.look() == Connection.Look.CLOSED) {
+                        desk.module().left(request);
+                        return false;
+                    }
+                    continue;
+                }
+                switch (letter.kind) {
+                    case EVENT -> {
+                        if (begun) {
+                            writer.event(letter.event);
+                        } else {
+                            writer.firstEvent(letter.event, closing(head));
+                            begun = true;
+                        }
+                    }
+                    case ENDED -> {
+                        writer.lastChunk();
+                        return !closing(head);
+                    }
+                    case REFUSED -> {
+                        return say(503, "refused", head, ClientConnections.Desk.retryAfter(letter.retryAfterNs));
+                    }
+                    case FAILED -> {
+                        return say(500, "failed", head);
+                    }
+                    default -> {
+                        return false; // a broken stream: closed without the last chunk
+                    }
+                }
+            }
+        } catch (IOException e) {
+            desk.module().left(request);
+            throw e;
+        }
+    }
+
+    private boolean closing(HttpHead head) { return head.closes() || desk.leaving().getAsBoolean(); }
+
+    private boolean say(int status, String text, HttpHead head, String... fields) throws IOException {
+        boolean close = closing(head);
+        writer.answer(status, text, close, fields);
+        return !close;
+    }
+
+    // ---- The mailbox ------------------------------------------------------------------------------
+
+    @Override public boolean event(byte[] event) {
+        try {
+            boolean room = !gone && mailbox.offer(new Letter(Kind.EVENT, event, 0), SLOWEST, TimeUnit.NANOSECONDS);
+            if (!room) {
+                connection.close(); // it has not read for long
+            }
+            return room && !gone;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    @Override public void ended() { last(Kind.ENDED, 0); }
+
+    @Override public void broken() { last(Kind.BROKEN, 0); }
+
+    @Override public void refused(long retryAfterNs) { last(Kind.REFUSED, retryAfterNs); }
+
+    @Override public void failed() { last(Kind.FAILED, 0); }
+
+    private void last(Kind kind, long retryAfterNs) {
+        if (!mailbox.offer(new Letter(kind, null, retryAfterNs))) {
+            connection.close(); // it has not read for long; this tells it that its stream is not whole
+        }
+    }
+}
--- a/router/src/main/java/streamproxy/routing/ModelBoxes.java
+++ b/router/src/main/java/streamproxy/routing/ModelBoxes.java
@@ -6,22 +6,24 @@
 import streamproxy.decision.SettingsText;
 import streamproxy.protocol.BoxEntry;
 import streamproxy.transport.Budget;
+import streamproxy.transport.QuietConnections;
 
 /** The actors of the model boxes that the box list names, over HTTP. */
 public final class ModelBoxes implements Boxes {
+    /**
+     * What all model boxes of the program share.
+     *
+     * @param budget         the connections that may be open to all of them
+     * @param connectingMost connections being opened to one box at a time
+     */
+    public record Desk(SettingsText.Deployment deployment, ReportLayout layout, Budget budget, Clock clock,
+            QuietConnections quiet, int connectingMost) { }
+
     private final Map<Long, ModelBox> byId = new HashMap<>(); // the module's actor alone touches it
-    private final SettingsText.Deployment deployment;
-    private final ReportLayout layout;
-    private final Budget budget;
-    private final Clock clock;
+    private final Desk desk;
     private ModuleActor module;
 
-    public ModelBoxes(SettingsText settings, Budget budget, Clock clock) {
-        this.deployment = settings.deployment();
-        this.layout = settings.reportLayout();
-        this.budget = budget;
-        this.clock = clock;
-    }
+    public ModelBoxes(Desk desk) { this.desk = desk; }
 
     /** Whom the boxes report to: once, before it starts. */
     public void reportTo(ModuleActor actor) { module = actor; }
@@ -29,7 +31,7 @@
     @Override public void told(long id, BoxEntry entry, boolean ready) {
         ModelBox box = byId.get(id);
         if (box == null) {
-            box = new ModelBox(id, entry, deployment, layout, budget, clock, module);
+            box = new ModelBox(id, entry, desk, module);
             byId.put(id, box);
             box.start();
         }
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -6,13 +6,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import org.tinylog.Logger;
 import streamproxy.decision.Policy;
 import streamproxy.decision.Routing;
 import streamproxy.decision.SettingsText;
 import streamproxy.protocol.BoxEntry;
+import streamproxy.timing.TimerWheel;
 import streamproxy.decision.Routing.Health;
 import streamproxy.decision.Routing.ListForm;
 import streamproxy.decision.Routing.LoadReport;
@@ -40,9 +40,44 @@
 
     private record ListNews(ListForm form, List<BoxEntry> boxes) implements Message { }
 
-    /** A time to act at: the module's timer, an attempt's time-out, or a request's deadline. */
-    private record Due(long at, long order, int token, Attempt attempt, Request request) { }
+    /** A timer that the module asked for. */
+    private final class Asked extends TimerWheel.Timer {
+        private final int token;
 
+        Asked(int token) { this.token = token; }
+
+        @Override protected void due(long at) {
+            policy.on(now, new Routing.TimerDue(token));
+            settleOwn();
+        }
+    }
+
+    /** The time-out of an attempt, ended with it. */
+    private final class TimeOut extends TimerWheel.Timer {
+        private final Attempt attempt;
+
+        TimeOut(Attempt attempt) { this.attempt = attempt; }
+
+        @Override protected void due(long at) {
+            timeOut(attempt);
+            settleOwn();
+        }
+    }
+
+    /** The deadline of a request, ended with it. */
+    private final class Deadline extends TimerWheel.Timer {
+        private final Request request;
+
+        Deadline(Request request) { this.request = request; }
+
+        @Override protected void due(long at) {
+            deadline(request);
+            settleOwn();
+        }
+    }
+
+    /** A tick of about a quarter of a millisecond: the module's times are in milliseconds. */
+    private static final int TICK_SHIFT = 18;
     private static final int MAILBOX = 8192;
 
     private final Clock clock;
@@ -52,14 +87,12 @@
     private final Policy policy;
     private final Map<Long, Request> requests = new HashMap<>();
     private final Set<Long> known = new HashSet<>();
-    private final PriorityQueue<Due> dues =
-            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final TimerWheel wheel;
     /** Events that an action brings about at once; the module gets them after the event it is at. */
     private final ArrayDeque<Message> own = new ArrayDeque<>();
     private Runnable watch = () -> { };
     private Runnable fetch = () -> { };
     private long now;
-    private long order;
     private long numbers;
     private volatile boolean knowsBoxes;
 
@@ -70,6 +103,7 @@
         deployment = text.deployment();
         settings = text.settings();
         now = clock.now();
+        wheel = new TimerWheel(TICK_SHIFT, now);
         policy = new Policy(settings, seed, now, this);
     }
 
@@ -111,22 +145,15 @@
         handle(message);
     }
 
-    @Override long restNs() { return dues.isEmpty() ? NEVER : dues.peek().at - clock.now(); }
+    @Override long restNs() {
+        long next = wheel.nextAt();
+        return next == Long.MAX_VALUE ? NEVER : next - clock.now();
+    }
 
     @Override void onTime() {
         now = Math.max(now, clock.now());
         settleOwn();
-        while (!dues.isEmpty() && dues.peek().at <= now) {
-            Due due = dues.poll();
-            if (due.attempt != null) {
-                timeOut(due.attempt);
-            } else if (due.request != null) {
-                deadline(due.request);
-            } else {
-                policy.on(now, new Routing.TimerDue(due.token));
-            }
-            settleOwn();
-        }
+        wheel.advance(now);
     }
 
     private void settleOwn() {
@@ -157,7 +184,8 @@
         request.number = ++numbers;
         requests.put(request.number, request);
         // The module answers before that; should it fail to, the client still gets its one answer in time.
-        dues.add(new Due(request.deadlineAt, ++order, 0, null, request));
+        request.deadline = new Deadline(request);
+        wheel.set(request.deadline, request.deadlineAt);
         try {
             policy.on(now, new Routing.Arrival(request.number, request.clazz, request.tenant, request.prompt.key(),
                     request.prompt.prefix(), request.prompt.promptTokens(), request.prompt.prefixTokens(),
@@ -170,6 +198,9 @@
 
     private void attemptOver(AttemptOver m) {
         Request request = m.attempt.request;
+        if (m.attempt.timeOut != null) {
+            wheel.end(m.attempt.timeOut);
+        }
         if (request.bound() == m.attempt) {
             close(request);
         }
@@ -214,6 +245,9 @@
         if (!request.over) {
             request.over = true;
             request.dropBody();
+            if (request.deadline != null) {
+                wheel.end(request.deadline);
+            }
         }
     }
 
@@ -276,7 +310,8 @@
             own.add(new AttemptOver(attempt, moot ? Outcome.MOOT : Outcome.CONNECT_FAILED, 0, null));
             return;
         }
-        dues.add(new Due(attempt.endsAt, ++order, 0, attempt, null));
+        attempt.timeOut = new TimeOut(attempt);
+        wheel.set(attempt.timeOut, attempt.endsAt);
     }
 
     @Override public void cancel(long request, int attempt) {
@@ -304,7 +339,7 @@
         }
     }
 
-    @Override public void timer(long afterNs, int token) { dues.add(new Due(now + afterNs, ++order, token, null, null)); }
+    @Override public void timer(long afterNs, int token) { wheel.set(new Asked(token), now + afterNs); }
 
     @Override public void probe(long replica) {
         if (!known.contains(replica) || !boxes.probe(replica)) {
--- a/router/src/main/java/streamproxy/routing/Request.java
+++ b/router/src/main/java/streamproxy/routing/Request.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import streamproxy.protocol.PassedOn;
 import streamproxy.protocol.PromptHeaders;
+import streamproxy.timing.TimerWheel;
 
 /** A client's request that this router has taken and owes one final answer. */
 public final class Request {
@@ -25,6 +26,7 @@
     long number;
     final List<Attempt> attempts = new ArrayList<>(2);
     boolean over;
+    TimerWheel.Timer deadline;
     int ended; // attempts whose outcome the module has
 
     public Request(PromptHeaders prompt, int clazz, int tenant, PassedOn passedOn, Client client, long takenAt) {
--- a/router/src/main/java/streamproxy/routing/TakenIds.java
+++ b/router/src/main/java/streamproxy/routing/TakenIds.java
@@ -19,7 +19,11 @@
     synchronized boolean add(String id) {
         long now = System.nanoTime();
         Iterator<Long> oldest = takenAt.values().iterator();
-        while (oldest.hasNext() && (takenAt.size() >= MOST || now - oldest.next() > MEMORY)) {
+        while (oldest.hasNext()) {
+            long at = oldest.next(); // before anything is removed: without it a full memory ended every request
+            if (takenAt.size() < MOST && now - at <= MEMORY) {
+                break;
+            }
             oldest.remove();
         }
         return takenAt.putIfAbsent(id, now) == null;
--- a/router/src/main/java/streamproxy/transport/Connection.java
+++ b/router/src/main/java/streamproxy/transport/Connection.java
@@ -2,14 +2,14 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicIntegerFieldUpdater;
 
 /**
  * One TCP connection with blocking reads and writes. One thread at a time uses it; any thread may close it,
@@ -20,20 +20,23 @@
     public enum Look { QUIET, DATA, CLOSED }
 
     private static final int BUFFER = 8 * 1024;
-    /** So much of what nobody wants is read at full speed, and the rest a buffer at a time with pauses. */
-    private static final int UNWANTED = 64 * 1024;
-    private static final long PACE_MS = 20;
+    /** One word for each connection instead of an object: there are many. */
+    private static final AtomicIntegerFieldUpdater<Connection> CLOSED =
+            AtomicIntegerFieldUpdater.newUpdater(Connection.class, "closed");
 
     private final SocketChannel channel;
-    private final Budget budget;
-    private final AtomicBoolean closed = new AtomicBoolean();
+    private final Budget budget; // null for one that is counted elsewhere
+    private volatile int closed;
     private byte[] buffer; // none while the connection is quiet
     private volatile long writingSince; // 0: no write is waiting
     private int next;
     private int end;
 
+    /** One that a peer has opened; whoever accepted it counts it. */
+    static Connection accepted(SocketChannel channel) throws IOException { return new Connection(channel, null); }
+
     /** Wraps an open channel whose place in the budget is already taken. */
-    Connection(SocketChannel channel, Budget budget) throws IOException {
+    private Connection(SocketChannel channel, Budget budget) throws IOException {
         this.channel = channel;
         this.budget = budget;
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
@@ -119,6 +122,38 @@
         return true;
     }
 
+    /** Writes the last word as far as the socket takes it at once, ends sending, and has what still comes watched. */
+    boolean part(byte[] lastWord, Selector selector, Object attachment) throws IOException {
+        next = end; // what came is not wanted
+        channel.configureBlocking(false);
+        if (lastWord.length > 0) {
+            channel.write(ByteBuffer.wrap(lastWord));
+        }
+        channel.shutdownOutput();
+        return watch(selector, attachment);
+    }
+
+    SelectionKey keyFor(Selector selector) { return channel.keyFor(selector); }
+
+    /** Reads and throws away, without waiting; how many bytes, or -1 at the end. Only while it is watched. */
+    int discard(ByteBuffer scratch) {
+        try {
+            scratch.clear();
+            return channel.read(scratch);
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    /** Where the peer is; null where it has gone. */
+    public InetAddress from() {
+        try {
+            return channel.getRemoteAddress() instanceof InetSocketAddress peer ? peer.getAddress() : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
     /** Whether bytes were read from the socket that nobody has taken; for the thread that reads. */
     public boolean holdsMore() { return next < end; }
 
@@ -152,41 +187,18 @@
 
     public void write(byte[] bytes) throws IOException { write(bytes, 0, bytes.length); }
 
-    public boolean isClosed() { return closed.get(); }
-
-    /**
-     * Closes after the peer has had time to read what was written: closing at once over bytes that nobody read
-     * resets the connection, and the last answer may be lost with it. Of a peer that sends on and on little is read,
-     * slowly: the rest stays with it.
-     */
-    public void closeGently(long waitNs) {
-        long until = System.nanoTime() + waitNs;
-        int read = 0;
-        try {
-            channel.shutdownOutput();
-            do {
-                read += end;
-                next = end; // what still comes is not wanted
-                if (read > UNWANTED) {
-                    TimeUnit.MILLISECONDS.sleep(PACE_MS);
-                }
-            } while (System.nanoTime() < until && fill(Math.max(1, until - System.nanoTime())));
-        } catch (IOException e) {
-            // the peer has gone already
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        close();
-    }
+    public boolean isClosed() { return closed != 0; }
 
     @Override public void close() {
-        if (closed.compareAndSet(false, true)) {
+        if (CLOSED.compareAndSet(this, 0, 1)) {
             try {
                 channel.close();
             } catch (IOException e) {
                 // nothing is left to be done for it
             }
-            budget.giveBack(1);
+            if (budget != null) {
+                budget.giveBack(1);
+            }
         }
     }
 }
--- a/router/src/main/java/streamproxy/transport/Listener.java
+++ b/router/src/main/java/streamproxy/transport/Listener.java
@@ -6,26 +6,36 @@
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.tinylog.Logger;
 
-/** Accepts connections on one address and hands each on. */
+/** Accepts connections on one address, as fast as its gate lets them in, and hands each on. */
 public final class Listener implements AutoCloseable {
-    private static final int BACKLOG = 1024;
-    private static final long PAUSE_MS = 20;
+    /** Who says when the next connection may be accepted, and takes it. */
+    public interface Gate {
+        /** How long the next connection waits in the backlog, in nanoseconds; 0 where it is accepted now. */
+        long waitNs();
+
+        /** A connection has come; it is the gate's, to keep or to close. Must not wait. */
+        void comes(Connection connection);
+
+        /** The process has no descriptor left for the next connection. */
+        void outOfDescriptors();
+    }
+
+    /** A crowd that comes back at once waits here; the kernel bounds it by net.core.somaxconn. */
+    private static final int BACKLOG = 4096;
+    private static final long PAUSE_NS = 20_000_000L;
+    private static final long MS = 1_000_000L;
+    /** One warning in so long: where descriptors are short, each try fails. */
+    private static final long WARN_EVERY_NS = 1_000 * MS;
 
     private final ServerSocketChannel server;
-    private final Budget budget;
-    private final Consumer<Connection> takes;
-    private final BooleanSupplier makesRoom;
+    private final Gate gate;
+    private long warnedAt = System.nanoTime() - WARN_EVERY_NS;
+    private int failures;
 
-    /** Where the budget has no place left, one is asked of {@code makesRoom}, which tells whether it has freed one. */
-    public Listener(InetSocketAddress at, Budget budget, Consumer<Connection> takes, BooleanSupplier makesRoom)
-            throws IOException {
-        this.budget = budget;
-        this.takes = takes;
-        this.makesRoom = makesRoom;
+    public Listener(InetSocketAddress at, Gate gate) throws IOException {
+        this.gate = gate;
         server = ServerSocketChannel.open();
         server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         server.bind(at, BACKLOG);
@@ -37,41 +47,45 @@
 
     private void run() {
         while (server.isOpen()) {
-            if (!budget.tryTake(1, 0)) {
-                if (!makesRoom.getAsBoolean()) {
-                    pause(); // the backlog holds what comes until a place is free
-                }
-                continue;
-            }
-            SocketChannel channel = null;
             try {
-                channel = server.accept();
-                takes.accept(new Connection(channel, budget));
+                long wait = gate.waitNs();
+                if (wait > 0) {
+                    pause(Math.min(wait, PAUSE_NS)); // the backlog holds what comes; limits may change meanwhile
+                    continue;
+                }
+                SocketChannel channel = server.accept();
+                try {
+                    gate.comes(Connection.accepted(channel));
+                } catch (IOException | RuntimeException | OutOfMemoryError e) {
+                    channel.close();
+                    failed(e);
+                }
             } catch (ClosedChannelException e) {
-                budget.giveBack(1);
                 return;
-            } catch (IOException | RuntimeException | OutOfMemoryError e) {
-                Logger.warn(e, "a connection could not be taken");
-                budget.giveBack(1);
-                closeQuietly(channel);
-                pause();
+            } catch (IOException e) {
+                failed(e);
+                gate.outOfDescriptors();
+                pause(PAUSE_NS);
+            } catch (RuntimeException | OutOfMemoryError e) {
+                failed(e);
+                pause(PAUSE_NS);
             }
         }
     }
 
-    private static void closeQuietly(SocketChannel channel) {
-        try {
-            if (channel != null) {
-                channel.close();
-            }
-        } catch (IOException e) {
-            Logger.debug(e, "closing");
+    private void failed(Throwable e) {
+        failures++;
+        long now = System.nanoTime();
+        if (now - warnedAt >= WARN_EVERY_NS) {
+            Logger.warn(e, "connections that could not be taken: {}", failures);
+            warnedAt = now;
+            failures = 0;
         }
     }
 
-    private static void pause() {
+    private static void pause(long ns) {
         try {
-            Thread.sleep(PAUSE_MS);
+            Thread.sleep(Math.max(1, ns / MS));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/router/src/main/java/streamproxy/transport/QuietConnections.java
+++ b/router/src/main/java/streamproxy/transport/QuietConnections.java
@@ -1,18 +1,26 @@
 package streamproxy.transport;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.tinylog.Logger;
+import streamproxy.timing.TimerWheel;
 
 /**
  * The connections on which nothing is under way, watched by one thread for all. They are many, and a thread for each
  * would cost its stack, and a switch whenever the process is stopped and goes on. Once a byte has come a connection
  * leaves, blocking as it was, and is read and written by a thread of its own.
+ *
+ * <p>How long each may stay quiet is kept on a timing wheel, so that the watch costs what happens and not what it
+ * watches: with nothing due and nothing coming its thread sleeps.
  */
 public final class QuietConnections {
     /** Whose connection it is; called on the watching thread, which must not be kept. */
@@ -20,90 +28,263 @@
         /** The peer has sent something: the connection is the owner's again. */
         void arrived();
 
-        /** The peer has closed, or has been quiet for as long as it may. */
+        /** The peer has closed, or has been quiet for as long as it may: the connection is the owner's, to close. */
         void over();
     }
 
-    private record Guest(Connection connection, long until, Owner owner) { }
+    /** One connection under watch. */
+    public class Watch extends TimerWheel.Timer {
+        private final Connection connection;
+        private final Owner owner;
+        private long until;
+        private SelectionKey key;
+        private boolean left; // the watching thread alone touches this and the key
 
-    /** How often those that have been quiet for too long are looked for. */
-    private static final long ROUND_MS = 50;
+        Watch(Connection connection, long until, Owner owner) {
+            this.connection = connection;
+            this.until = until;
+            this.owner = owner;
+        }
+
+        @Override protected void due(long now) { leave(this, Watch::handOver); }
+
+        void readable() { leave(this, Watch::handOver); }
+
+        /** Begins the watch; false where it need not begin, as something is there already. */
+        boolean begin() throws IOException { return connection.watch(selector, this); }
+
+        /** What came at the last moment counts, even if the time was up. */
+        void handOver() {
+            if (connection.look() == Connection.Look.DATA) {
+                owner.arrived();
+            } else {
+                owner.over();
+            }
+        }
+    }
 
-    private final Queue<Guest> comers = new ConcurrentLinkedQueue<>();
+    /**
+     * A connection whose last word is being said. Closing at once over bytes that nobody read would reset it, and the
+     * last word might be lost; so what still comes is read and thrown away until the peer closes, its time is up, or it
+     * has sent too much: then the rest stays with it.
+     */
+    private final class Parting extends Watch {
+        private final byte[] lastWord;
+        private int unwanted;
+
+        Parting(Connection connection, long until, byte[] lastWord, Runnable closed) {
+            super(connection, until, new Owner() {
+                @Override public void arrived() { closed.run(); }
+
+                @Override public void over() { closed.run(); }
+            });
+            this.lastWord = lastWord;
+        }
+
+        @Override boolean begin() throws IOException { return super.connection.part(lastWord, selector, this); }
+
+        @Override void readable() {
+            int n = super.connection.discard(scratch);
+            unwanted += n;
+            if (n < 0) {
+                leave(this, Watch::handOver);
+            } else if (unwanted > UNWANTED) {
+                super.key.interestOps(0); // its time ends it
+            }
+        }
+
+        @Override void handOver() {
+            super.connection.close();
+            super.owner.over();
+        }
+    }
+
+    private record Ask(Watch watch, Consumer<Boolean> then) { }
+
+    /** The wheel's ticks are about a millisecond long, the finest that a selector waits. */
+    private static final int TICK_SHIFT = 20;
+    private static final long MS = 1_000_000L;
+    /** So much of what a peer that is being left still sends is read. */
+    private static final int UNWANTED = 64 * 1024;
+
+    private final Queue<Watch> comers = new ConcurrentLinkedQueue<>();
+    private final Queue<Ask> asks = new ConcurrentLinkedQueue<>();
+    private final Queue<Predicate<Owner>> sweeps = new ConcurrentLinkedQueue<>();
+    private final List<Runnable> leaving = new ArrayList<>();
+    private final ByteBuffer scratch = ByteBuffer.allocateDirect(8 * 1024);
     private final Selector selector;
+    private final TimerWheel wheel = new TimerWheel(TICK_SHIFT, System.nanoTime());
 
     public QuietConnections() throws IOException { selector = Selector.open(); }
 
     public void start() { Threads.start("quiet connections", this::run); }
 
     /** Watches a connection until that time of {@link System#nanoTime}; nobody else may read it meanwhile. */
-    public void add(Connection connection, long until, Owner owner) {
-        comers.add(new Guest(connection, until, owner));
+    public Watch add(Connection connection, long until, Owner owner) {
+        Watch watch = new Watch(connection, until, owner);
+        comers.add(watch);
         selector.wakeup();
+        return watch;
     }
 
-    /** A connection was closed from elsewhere: its descriptor is given back once the watch has let go of it. */
-    public void letGo() { selector.wakeup(); }
+    /**
+     * Ends a watch from elsewhere. {@code then} is told, on the watching thread, whether the connection was quiet up to
+     * now and is the caller's, blocking as it was; else its owner has it already.
+     */
+    public void release(Watch watch, Consumer<Boolean> then) {
+        asks.add(new Ask(watch, then));
+        selector.wakeup();
+    }
+
+    /** A watched connection was closed from elsewhere: its descriptor is given back once the watch has let go of it. */
+    public void letGo(Watch watch) { release(watch, quiet -> { }); }
+
+    /**
+     * Says a last word, if the peer takes it at once, and closes the connection once the peer has, or when that time of
+     * {@link System#nanoTime} has come; then {@code closed} is run. The connection is not watched before.
+     */
+    public void part(Connection connection, byte[] lastWord, long until, Runnable closed) {
+        comers.add(new Parting(connection, until, lastWord, closed));
+        selector.wakeup();
+    }
+
+    /** Ends the watch of all whose owner it is told of and wants ended, as though their time were up. Looks at each, once. */
+    public void endAll(Predicate<Owner> wanted) {
+        sweeps.add(wanted);
+        selector.wakeup();
+    }
 
     private void run() {
-        long roundAt = 0;
         while (true) {
             try {
-                selector.select(ROUND_MS);
-                List<Guest> leaving = new ArrayList<>();
-                for (SelectionKey key : selector.selectedKeys()) {
-                    leave(key, leaving);
-                }
-                selector.selectedKeys().clear();
-                long now = System.nanoTime();
-                if (now >= roundAt) {
-                    roundAt = now + ROUND_MS * 1_000_000;
-                    for (SelectionKey key : selector.keys()) {
-                        if (key.isValid() && ((Guest) key.attachment()).until <= now) {
-                            leave(key, leaving);
-                        }
-                    }
-                }
-                if (!leaving.isEmpty()) {
-                    selector.selectNow(); // takes the keys off, without which no connection can block again
-                    selector.selectedKeys().clear();
-                    leaving.forEach(QuietConnections::handOver);
-                }
-                for (Guest comer = comers.poll(); comer != null; comer = comers.poll()) {
-                    enter(comer);
+                long next = wheel.nextAt();
+                long wait = next == Long.MAX_VALUE ? 0 : Math.max(1, (next - System.nanoTime() + MS - 1) / MS);
+                if (comers.isEmpty() && asks.isEmpty() && sweeps.isEmpty()) {
+                    selector.select(wait);
+                } else {
+                    selector.selectNow();
                 }
+                round();
             } catch (IOException | RuntimeException | OutOfMemoryError e) {
                 Logger.error(e, "the watch of quiet connections goes on after");
             }
         }
     }
 
-    private static void leave(SelectionKey key, List<Guest> leaving) {
-        leaving.add((Guest) key.attachment());
-        key.cancel();
+    private void round() throws IOException {
+        for (SelectionKey key : selector.selectedKeys()) {
+            if (key.isValid()) {
+                ((Watch) key.attachment()).readable();
+            } else {
+                end((Watch) key.attachment()); // closed from elsewhere
+            }
+        }
+        selector.selectedKeys().clear();
+        wheel.advance(System.nanoTime());
+        for (Ask ask = asks.poll(); ask != null; ask = asks.poll()) {
+            release(ask);
+        }
+        for (Predicate<Owner> sweep = sweeps.poll(); sweep != null; sweep = sweeps.poll()) {
+            enterAll(); // those that are about to be watched, too
+            for (SelectionKey key : selector.keys()) {
+                Watch watch = (Watch) key.attachment();
+                if (!watch.left && sweep.test(watch.owner)) {
+                    leave(watch, Watch::handOver);
+                }
+            }
+        }
+        if (!leaving.isEmpty()) {
+            selector.selectNow(); // takes the keys off, without which no connection can block again
+            selector.selectedKeys().clear(); // what else it found is found again
+            List<Runnable> now = List.copyOf(leaving);
+            leaving.clear();
+            now.forEach(QuietConnections::runSafely);
+        }
+        enterAll();
+    }
+
+    private void release(Ask ask) {
+        if (ask.watch.left) {
+            runSafely(() -> ask.then.accept(false));
+        } else {
+            leave(ask.watch, watch -> {
+                boolean still = watch.connection.look() == Connection.Look.QUIET; // as the last moment has it
+                if (!still) {
+                    watch.owner.over();
+                }
+                ask.then.accept(still);
+            });
+        }
+    }
+
+    /** Takes it off the wheel and the selector; the rest is done once the selector has let go of it. */
+    private void leave(Watch watch, Consumer<Watch> then) {
+        if (end(watch)) {
+            leaving.add(() -> {
+                try {
+                    then.accept(watch);
+                } catch (RuntimeException | OutOfMemoryError e) { // no thread to be had
+                    Logger.warn(e, "a connection could not be read");
+                    watch.owner.over();
+                }
+            });
+        }
+    }
+
+    private boolean end(Watch watch) {
+        if (watch.left) {
+            return false;
+        }
+        watch.left = true;
+        wheel.end(watch);
+        if (watch.key != null) {
+            watch.key.cancel();
+        }
+        return true;
     }
 
-    private void enter(Guest comer) {
+    private static void runSafely(Runnable work) {
         try {
-            if (!comer.connection.watch(selector, comer)) {
-                comer.owner.arrived(); // it had more than its last request needed
-            }
-        } catch (IOException e) {
-            comer.owner.over();
+            work.run();
+        } catch (RuntimeException e) {
+            Logger.error(e, "the watch of quiet connections goes on after");
+        }
+    }
+
+    private void enterAll() throws IOException {
+        for (Watch comer = comers.poll(); comer != null; comer = comers.poll()) {
+            enter(comer);
         }
     }
 
-    /** What came at the last moment counts, even if the time was up. */
-    private static void handOver(Guest guest) {
+    private void enter(Watch comer) throws IOException {
+        if (comer.left) {
+            return;
+        }
         try {
-            if (guest.connection.look() == Connection.Look.DATA) {
-                guest.owner.arrived();
+            if (begin(comer)) {
+                comer.key = comer.connection.keyFor(selector);
+                wheel.set(comer, comer.until);
             } else {
-                guest.owner.over();
+                comer.left = true;
+                comer.owner.arrived(); // it had more than its last request needed
             }
+        } catch (IOException e) {
+            comer.left = true;
+            comer.handOver();
         } catch (RuntimeException | OutOfMemoryError e) { // no thread to be had
             Logger.warn(e, "a connection could not be read");
-            guest.owner.over();
+            comer.owner.over();
+        }
+    }
+
+    private boolean begin(Watch comer) throws IOException {
+        try {
+            return comer.begin();
+        } catch (CancelledKeyException e) { // an earlier watch of it has ended since the last round
+            selector.selectNow();
+            selector.selectedKeys().clear();
+            return comer.begin();
         }
     }
 }
--- a/router/src/test/java/streamproxy/routing/ModelBoxStories.java
+++ b/router/src/test/java/streamproxy/routing/ModelBoxStories.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -14,6 +15,7 @@
 import streamproxy.protocol.PassedOn;
 import streamproxy.protocol.PromptHeaders;
 import streamproxy.transport.Budget;
+import streamproxy.transport.QuietConnections;
 
 /** A model box's actor by itself, with what cannot be timed from outside. */
 public class ModelBoxStories {
@@ -36,6 +38,13 @@
             """;
 
     private final Clock clock = new Clock();
+    private final SettingsText text = new SettingsText(SETTINGS);
+
+    private ModelBoxes.Desk desk(int connectingMost) throws IOException {
+        QuietConnections quiet = new QuietConnections();
+        quiet.start();
+        return new ModelBoxes.Desk(text.deployment(), text.reportLayout(), new Budget(100), clock, quiet, connectingMost);
+    }
 
     private Attempt attempt(String id) {
         PromptHeaders prompt = new PromptHeaders(id, "c", "", 1, 4 * SECOND, 0, 10, 0, 10, false);
@@ -45,12 +54,11 @@
 
     /** A box that closes idle connections early, and says nothing, would reset every later request on them. */
     @Test public void aBoxThatClosesKeptConnectionsEarlyHasThemKeptForLess() throws Exception {
-        SettingsText text = new SettingsText(SETTINGS);
-        Budget budget = new Budget(100);
-        ModuleActor module = new ModuleActor(text, 1, clock, new ModelBoxes(text, budget, clock));
+        ModelBoxes.Desk desk = desk(Integer.MAX_VALUE);
+        ModuleActor module = new ModuleActor(text, 1, clock, new ModelBoxes(desk));
         try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
             BoxEntry entry = new BoxEntry("s-1", (InetSocketAddress) server.getLocalSocketAddress(), "", "", 0, "ready", 1, 0);
-            ModelBox box = new ModelBox(7, entry, text.deployment(), text.reportLayout(), budget, clock, module);
+            ModelBox box = new ModelBox(7, entry, desk, module);
             long usual = box.keepNs();
             box.told(entry, true);
             box.start();
@@ -87,25 +95,27 @@
     /** An attempt waits in a mailbox or for its connection; a box told draining meanwhile must not get it. */
     @Test public void aWaitingAttemptIsNotWrittenToABoxToldDrainingMeanwhile() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
-            SettingsText text = new SettingsText(SETTINGS);
-            Budget budget = new Budget(100);
-            ModelBoxes boxes = new ModelBoxes(text, budget, clock);
-            ModuleActor module = new ModuleActor(text, 1, clock, boxes);
+            ModelBoxes.Desk desk = desk(Integer.MAX_VALUE);
+            ModuleActor module = new ModuleActor(text, 1, clock, new ModelBoxes(desk));
             BoxEntry entry = new BoxEntry("s-1", (InetSocketAddress) server.getLocalSocketAddress(), "", "", 0, "ready", 1, 0);
-            ModelBox box = new ModelBox(7, entry, text.deployment(), text.reportLayout(), budget, clock, module);
+            ModelBox box = new ModelBox(7, entry, desk, module);
             box.told(entry, true);
             Attempt waiting = attempt("early");
             assertTrue(box.send(waiting));
             box.told(entry, false);
             box.start();
-            try (Socket socket = server.accept()) {
-                socket.setSoTimeout(10_000);
+            try (Socket unused = server.accept()) {
                 for (long until = System.nanoTime() + 10 * SECOND; !waiting.isOver();) {
                     assertTrue("not in time", System.nanoTime() < until);
                     TimeUnit.MILLISECONDS.sleep(5);
                 }
-                box.told(entry, true);
-                assertTrue(box.send(attempt("later")));
+                unused.setSoTimeout(10_000);
+                assertEquals("nothing is written, and nothing kept open to a box that drains", -1, unused.getInputStream().read());
+            }
+            box.told(entry, true);
+            assertTrue(box.send(attempt("later")));
+            try (Socket socket = server.accept()) {
+                socket.setSoTimeout(10_000);
                 String head = new String(socket.getInputStream().readNBytes(70));
                 assertEquals("only the later one is written: " + head, -1, head.indexOf("early"));
                 assertTrue(head, head.contains("Req-Id: later"));
@@ -118,4 +128,39 @@
             }
         }
     }
+
+    /** A crowd of newcomers must not reach a box as a crowd of handshakes: what may not connect waits for what is free. */
+    @Test public void noMoreConnectionsAreBeingOpenedAtOnceThanTheBoxIsAskedToBear() throws Exception {
+        // Two connections come up in a backlog of one, and the next handshakes get no answer.
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            ModelBoxes.Desk desk = desk(2);
+            ModuleActor module = new ModuleActor(text, 1, clock, new ModelBoxes(desk));
+            BoxEntry entry = new BoxEntry("s-1", (InetSocketAddress) server.getLocalSocketAddress(), "", "", 0, "ready", 1, 0);
+            ModelBox box = new ModelBox(7, entry, desk, module);
+            box.told(entry, true);
+            box.start();
+            for (int i = 0; i < 8; i++) {
+                assertTrue(box.send(attempt("a" + i)));
+            }
+            for (long until = System.nanoTime() + 10 * SECOND; desk.budget().left() > 96;) {
+                assertTrue("not in time", System.nanoTime() < until);
+                TimeUnit.MILLISECONDS.sleep(5);
+            }
+            assertEquals("two are up, two on their way, four wait", 96, desk.budget().left());
+            try (Socket first = server.accept()) {
+                first.setSoTimeout(10_000);
+                for (int i = 0; i < 3; i++) {
+                    StringBuilder request = new StringBuilder();
+                    while (request.indexOf("\r\n\r\n") < 0) {
+                        request.append((char) first.getInputStream().read());
+                    }
+                    first.getInputStream().readNBytes(2);
+                    assertTrue(request.toString(), request.indexOf("Req-Id: a") > 0);
+                    assertTrue("more were opened: " + desk.budget().left(), desk.budget().left() >= 96);
+                    first.getOutputStream().write("HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n".getBytes());
+                }
+            }
+            box.retire();
+        }
+    }
 }
--- /dev/null
+++ b/router/src/test/java/streamproxy/stories/ConnectionStories.java
@@ -0,0 +1,303 @@
+package streamproxy.stories;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.junit.After;
+import org.junit.Test;
+import streamproxy.program.Router;
+import streamproxy.protocol.OperatorFile;
+import streamproxy.protocol.OperatorReader;
+
+/** What many connections, idle, mute, gone and back at once, do to those that ask. */
+public class ConnectionStories {
+    private static final String END = "0\r\n\r\n";
+    private static final ScriptedBox.Script SERVES = e -> e.stream("data: one\n\n", "data: [DONE]\n\n");
+    private static final String PATIENT = "client_idle_s = 600\nclient_mute_s = 600\n";
+
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private Router router;
+
+    @After public void end() throws Exception {
+        for (int i = opened.size() - 1; i >= 0; i--) {
+            opened.get(i).close();
+        }
+        if (router != null) {
+            router.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T keep(T it) {
+        opened.add(it);
+        return it;
+    }
+
+    private static OperatorFile operator(String connections) throws Exception {
+        Path file = Files.createTempFile("operator", ".ini");
+        Files.writeString(file, "[connections]\n" + connections);
+        OperatorFile read = OperatorReader.read(file.toString());
+        Files.delete(file);
+        return read;
+    }
+
+    private ScriptedBox routerOver(int descriptors, int memoryMb, String connections, ScriptedBox.Script script) throws Exception {
+        ScriptedBox box = keep(new ScriptedBox(script));
+        router = keep(new Deployment("127.0.0.1:0", descriptors, memoryMb, box)).start(operator(connections));
+        await("ready", () -> {
+            try (Caller caller = new Caller(router.address())) {
+                return caller.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").readTo("\n").startsWith("HTTP/1.1 200 ");
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        return box;
+    }
+
+    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (!condition.getAsBoolean()) {
+            assertTrue("not in time: " + what, System.nanoTime() < until);
+            Thread.sleep(5);
+        }
+    }
+
+    private Crowd crowd(String from) throws IOException { return keep(new Crowd(router.address(), from)); }
+
+    private static void assertAllReady(List<String> told) {
+        for (String answer : told) {
+            assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+        }
+    }
+
+    /** Ten thousand, or as many as this process may hold both ends of. */
+    @Test public void busyClientsAreServedAmongVeryManyIdleOnesAndNoneOfThoseIsClosed() throws Exception {
+        int many = Crowd.most(10_000);
+        routerOver(2 * many + 2000, 4096, PATIENT + "clients_most = " + (many + 100) + "\n", SERVES);
+        int threadsBefore = Thread.activeCount();
+        Crowd idle = crowd("127.0.0.1").connect(many);
+        assertAllReady(idle.ask());
+        for (int i = 0; i < 50; i++) {
+            try (Caller busy = new Caller(router.address())) {
+                for (int j = 0; j < 10; j++) {
+                    String answer = busy.send(Caller.prompt("a" + i + "-" + j, "{}")).readTo(END);
+                    assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+                }
+            }
+        }
+        assertEquals(0, idle.closed());
+        await("only the idle ones are held", () -> router.clients().held() == many && router.clients().active() == 0);
+        await("and they have no threads", () -> Thread.activeCount() <= threadsBefore + 20);
+        assertAllReady(idle.ask());
+    }
+
+    @Test public void whenThousandsGoInOneMomentTheirPlacesAreFreeAgain() throws Exception {
+        int many = Crowd.most(4_000);
+        routerOver(2 * many + 2000, 4096, PATIENT + "clients_most = " + many + "\n", SERVES);
+        Crowd idle = crowd("127.0.0.1").connect(many);
+        await("all are held", () -> router.clients().held() == many);
+        idle.close();
+        await("none is held", () -> router.clients().held() == 0);
+        assertEquals("none had to make room", 0, router.clients().spared());
+        Crowd next = crowd("127.0.0.1").connect(many);
+        await("as many again", () -> router.clients().held() == many);
+        assertAllReady(next.ask());
+    }
+
+    /** As after a restart of a front layer: what was taken is answered, and who comes back is, too. */
+    @Test public void whenAllReconnectAtOnceNoRequestThatWasTakenIsLost() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        ScriptedBox box = routerOver(8000, 4096, PATIENT + "clients_most = 1500\nactive_most = 600\naccepts_per_s = 4000\n", e -> {
+            assertTrue(go.await(30, TimeUnit.SECONDS));
+            SERVES.play(e);
+        });
+        Crowd before = crowd("127.0.0.1").connect(1000);
+        assertAllReady(before.ask());
+        List<Caller> taken = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            taken.add(keep(new Caller(router.address())).send(Caller.prompt("taken" + i, "{}")));
+        }
+        await("the box has them", () -> box.attempts.size() == 20);
+        before.close();
+        Crowd after = crowd("127.0.0.1").connect(1000);
+        assertAllReady(after.ask());
+        go.countDown();
+        for (Caller caller : taken) {
+            String answer = caller.readTo(END);
+            assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+        }
+        assertEquals(20, box.attempts.size());
+    }
+
+    /** Clients behind one address that open connections and say nothing must not take those of others. */
+    @Test public void aMuteFloodFromOneAddressEndsAtItsCap() throws Exception {
+        routerOver(2000, 4096, PATIENT + "clients_most = 300\nclients_per_address = 100\n", SERVES);
+        Crowd flood = crowd("127.0.0.2").connect(400);
+        await("what is beyond the cap is closed", () -> {
+            try {
+                return flood.closed() == 300;
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        assertEquals(100, router.clients().held());
+        assertEquals(300, router.clients().addressFull());
+        assertAllReady(crowd("127.0.0.3").connect(50).ask());
+        assertEquals("nobody had to make room", 0, router.clients().spared());
+    }
+
+    @Test public void beyondTheMostActiveARequestIsToldAtOnceWhenToComeBack() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        ScriptedBox box = routerOver(1024, 4096, PATIENT + "active_most = 3\n", e -> {
+            assertTrue(go.await(30, TimeUnit.SECONDS));
+            SERVES.play(e);
+        });
+        List<Caller> taken = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            taken.add(keep(new Caller(router.address())).send(Caller.prompt("taken" + i, "{}")));
+        }
+        await("three are under way", () -> box.attempts.size() == 3);
+        for (int i = 0; i < 20; i++) {
+            String answer = keep(new Caller(router.address())).send(Caller.prompt("late" + i, "{}")).readAll();
+            assertTrue(answer, answer.startsWith("HTTP/1.1 503 ") && answer.contains("\r\nRetry-After: "));
+        }
+        assertEquals(20, router.clients().activeFull());
+        go.countDown();
+        for (Caller caller : taken) {
+            caller.readTo(END);
+        }
+        await("they have ended", () -> router.clients().active() == 0);
+        String answer = keep(new Caller(router.address())).send(Caller.prompt("next", "{}")).readTo(END);
+        assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+    }
+
+    /** Either the request is served, or the close crosses it: never half an answer, and never none. */
+    @Test public void aRequestInTheInstantWhenItsIdleTimeEndsIsServedOrCrossedByTheClose() throws Exception {
+        routerOver(1024, 4096, "client_idle_s = 0.1\n", SERVES);
+        long seed = 20261201;
+        System.out.println("seed " + seed);
+        SplittableRandom random = new SplittableRandom(seed);
+        int served = 0;
+        int crossed = 0;
+        for (int i = 0; i < 60; i++) {
+            try (Caller caller = new Caller(router.address())) {
+                caller.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").readTo("ready");
+                long at = System.nanoTime() + 98_000_000L + random.nextLong(5_000_000L);
+                while (System.nanoTime() < at) {
+                    Thread.onSpinWait(); // the instant is what this story is about
+                }
+                String answer = "";
+                try {
+                    caller.send(Caller.prompt("i" + i, "{}"));
+                    answer = caller.readTo(END);
+                } catch (IOException e) {
+                    String told = String.valueOf(e.getMessage());
+                    assertTrue(told, !told.startsWith("closed after: ") || told.equals("closed after: "));
+                }
+                served += answer.isEmpty() ? 0 : 1;
+                crossed += answer.isEmpty() ? 1 : 0;
+                assertTrue(answer, answer.isEmpty() || answer.startsWith("HTTP/1.1 200 "));
+            }
+        }
+        assertEquals(60, served + crossed);
+        await("all places are free again", () -> router.clients().held() == 0);
+    }
+
+    /** The system's limit may be lower than the platform says: idle connections go, and who asks is served. */
+    @Test public void whereDescriptorsRunOutIdleConnectionsMakeRoom() throws Exception {
+        ScriptedBox box = keep(new ScriptedBox(SERVES));
+        int port;
+        try (java.net.ServerSocket free = new java.net.ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        Deployment deployment = keep(new Deployment("127.0.0.1:" + port, 2048, 4096, box));
+        Process program = ProgramStories.start(deployment.environment, List.of("sh", "-c", "ulimit -n 200; exec \"$@\"", "sh"), "serve");
+        InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
+        try {
+            ProgramStories.awaitReady(at, program);
+            List<Socket> idle = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                Socket socket = keep(new Socket("127.0.0.1", port));
+                socket.setSoTimeout(15_000);
+                socket.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertEquals("client " + i, 'H', socket.getInputStream().read());
+                idle.add(socket);
+            }
+            try (Caller caller = new Caller(at)) {
+                String answer = caller.send(Caller.prompt("a1", "{}")).readTo(END);
+                assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+            }
+            assertTrue(program.isAlive());
+        } finally {
+            program.destroyForcibly();
+        }
+    }
+
+    /** While it leaves, idle ones are let go of at once and those with a request get their answers. */
+    @Test public void leavingWithAThousandIdleItFinishesWhatItHasTaken() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        ScriptedBox box = routerOver(4000, 4096, PATIENT + "clients_most = 1100\n", e -> {
+            assertTrue(go.await(30, TimeUnit.SECONDS));
+            SERVES.play(e);
+        });
+        Crowd idle = crowd("127.0.0.1").connect(1000);
+        Caller caller = keep(new Caller(router.address())).send(Caller.prompt("a1", "{}"));
+        await("the box has it", () -> box.attempts.size() == 1);
+        Thread leaves = new Thread(() -> {
+            try {
+                router.leave();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        leaves.start();
+        await("only the request is left", () -> router.clients().held() == 1);
+        assertEquals(1000, idle.closed());
+        go.countDown();
+        String answer = caller.readTo(END);
+        assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+        leaves.join(TimeUnit.SECONDS.toMillis(15));
+        assertTrue("it has left", !leaves.isAlive());
+        assertEquals(0, router.clients().held());
+    }
+
+    /** The boxes' side: kept connections cost nothing while they rest, and a box that closes them all is noticed. */
+    @Test public void connectionsThatABoxClosesWhileTheyRestAreNotUsedAgain() throws Exception {
+        AtomicInteger under = new AtomicInteger();
+        CountDownLatch go = new CountDownLatch(1);
+        ScriptedBox box = routerOver(2000, 4096, PATIENT, e -> {
+            under.incrementAndGet();
+            assertTrue(go.await(30, TimeUnit.SECONDS));
+            SERVES.play(e);
+        });
+        List<Caller> callers = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            callers.add(keep(new Caller(router.address())).send(Caller.prompt("a" + i, "{}")));
+        }
+        await("each has a connection", () -> under.get() == 100);
+        go.countDown();
+        for (Caller caller : callers) {
+            caller.readTo(END);
+        }
+        box.closeConnections();
+        int before = box.attempts.size();
+        for (int i = 0; i < 100; i++) {
+            String answer = callers.get(i).send(Caller.prompt("b" + i, "{}")).readTo(END);
+            assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+        }
+        assertEquals("each was sent once", before + 100, box.attempts.size());
+    }
+}
--- a/router/src/test/java/streamproxy/stories/Deployment.java
+++ b/router/src/test/java/streamproxy/stories/Deployment.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import streamproxy.protocol.NodeConfig;
+import streamproxy.protocol.OperatorFile;
 import streamproxy.program.Router;
 
 /** A small deployment on loopback: scripted boxes, a scripted box list, and what a router there is told. */
@@ -18,14 +19,16 @@
     private final Path config;
     private final String told;
 
-    Deployment(String listen, int sockets, ScriptedBox... boxes) throws IOException {
+    Deployment(String listen, int sockets, ScriptedBox... boxes) throws IOException { this(listen, sockets, 192, boxes); }
+
+    Deployment(String listen, int sockets, int memoryMb, ScriptedBox... boxes) throws IOException {
         list = new ScriptedBox(this::watch);
         StringBuilder known = new StringBuilder();
         for (int i = 0; i < boxes.length; i++) {
             known.append(i > 0 ? "," : "").append(entry("s-" + i, boxes[i].address(), "ready"));
         }
         config = Files.createTempFile("streamproxy", ".json");
-        told = "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":"
+        told = "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + ",\"memory_mb\":" + memoryMb + "},\"known\":"
                 + told(1, true, known.toString()) + ",\"settings\":" + SETTINGS + "}";
         configure("{" + told);
         environment = Map.of("NODE_NAME", "n0", "NODE_LISTEN", listen, "NODE_DISCOVERY", list.address(),
@@ -42,8 +45,10 @@
         configure("{\"discovery\":\"" + address + "\"," + told);
     }
 
-    Router start() throws IOException, NodeConfig.Unusable {
-        Router router = new Router(NodeConfig.read(environment));
+    Router start() throws IOException, NodeConfig.Unusable { return start(OperatorFile.NONE); }
+
+    Router start(OperatorFile operator) throws IOException, NodeConfig.Unusable {
+        Router router = new Router(NodeConfig.read(environment), operator);
         router.start();
         return router;
     }
--- a/router/src/test/java/streamproxy/stories/ProgramStories.java
+++ b/router/src/test/java/streamproxy/stories/ProgramStories.java
@@ -10,8 +10,11 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -20,21 +23,29 @@
 
 /** Starts the program itself, as its users do, and speaks to it over sockets. */
 public class ProgramStories {
-    private static Process start(Map<String, String> environment, String command) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), Main.class.getName(), command);
+    /** Starts the program, with {@code before} in front of the command that does. */
+    static Process start(Map<String, String> environment, List<String> before, String... command) throws IOException {
+        List<String> whole = new ArrayList<>(before);
+        whole.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), Main.class.getName()));
+        whole.addAll(List.of(command));
+        ProcessBuilder builder = new ProcessBuilder(whole);
         builder.environment().keySet().removeIf(name -> name.startsWith("NODE_"));
         builder.environment().putAll(environment);
         return builder.start();
     }
 
+    private static Process start(Map<String, String> environment, String... command) throws IOException {
+        return start(environment, List.of(), command);
+    }
+
     private static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
         }
     }
 
-    private static void awaitReady(InetSocketAddress router, Process program) throws Exception {
+    static void awaitReady(InetSocketAddress router, Process program) throws Exception {
         while (program.isAlive()) {
             try (Caller caller = new Caller(router)) {
                 String answer = caller.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").readTo("\n");
@@ -148,4 +159,90 @@
             }
         }
     }
+
+    private static String said(Process program, int exit) throws Exception {
+        String out = new String(program.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        String err = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(err, exit, program.waitFor());
+        return out + err;
+    }
+
+    private static Path operator(String text) throws IOException {
+        Path file = Files.createTempFile("operator", ".ini");
+        Files.writeString(file, text);
+        return file;
+    }
+
+    @Test public void anOperatorsFileThatCannotBeUsedIsSaidInOneLineWithItsPlace() throws Exception {
+        Path file = operator("[connections]\nclients_most = 100\nactive_most = 101\n");
+        try (ScriptedBox box = new ScriptedBox(e -> { }); Deployment deployment = Deployment.of(box)) {
+            String line = "streamproxy: " + file + ": line 3: [connections] active_most: active_most is over clients_most, which is 100\n";
+            assertEquals(line, said(start(deployment.environment, "serve", "--operator", file.toString()), 3));
+            assertEquals(line, said(start(Map.of(), "config", "check", "--operator", file.toString()), 3));
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private static void awaitReloaded(BufferedReader log) throws IOException {
+        String line = log.readLine();
+        while (!line.contains("SERVING after RELOADING")) {
+            line = log.readLine();
+        }
+    }
+
+    @Test public void onSighupTheOperatorsFileIsReadAgainAndABadOneChangesNothing() throws Exception {
+        InetSocketAddress at = freeAddress();
+        Path file = operator("[connections]\nclient_idle_s = 600\nclient_mute_s = 600\n");
+        try (ScriptedBox box = new ScriptedBox(e -> e.stream("data: hello\n\n"));
+                Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
+            deployment.configureDiscovery(deployment.list.address());
+            Process program = start(deployment.environment, "serve", "--operator", file.toString());
+            try (Caller early = caller(at, program)) {
+                early.send(Caller.prompt("a1", "{}")).readTo("0\r\n\r\n");
+                Files.writeString(file, "[connections]\nclient_idle = 0.1\n");
+                hangUp(program);
+                BufferedReader log = program.errorReader();
+                String line = log.readLine();
+                while (!line.contains("the old configuration stays")) {
+                    line = log.readLine();
+                }
+                assertTrue(line, line.contains("line 2: [connections] client_idle: no such key"));
+                awaitReloaded(log);
+                Files.writeString(file, "[connections]\nclient_idle_s = 0.1\nclient_mute_s = 600\n");
+                hangUp(program);
+                awaitReloaded(log);
+                try (Caller later = caller(at, program)) {
+                    String answer = later.send(Caller.prompt("a2", "{}")).readAll(); // comes back with the close
+                    assertTrue(answer, answer.startsWith("HTTP/1.1 200 ") && answer.endsWith("0\r\n\r\n"));
+                }
+                // One that rested before has the time that it was given then.
+                early.send(Caller.prompt("a3", "{}")).readTo("0\r\n\r\n");
+            } finally {
+                program.destroyForcibly();
+            }
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    @Test public void eachCommandSaysWhatItIsForAndWrongUsageIsTwo() throws Exception {
+        for (String[] command : new String[][] {{}, {"serve"}, {"benchlink"}, {"config"}, {"config", "check"}}) {
+            List<String> words = new ArrayList<>(List.of(command));
+            words.add("--help");
+            String help = said(start(Map.of(), words.toArray(new String[0])), 0);
+            assertTrue(help, help.contains("Usage: streamproxy") && help.contains("Example"));
+        }
+        assertTrue(said(start(Map.of(), "--version"), 0).startsWith("streamproxy "));
+        assertTrue(said(start(Map.of(), "sreve"), 2).contains("sreve"));
+        assertTrue(said(start(Map.of()), 2).contains("Usage: streamproxy"));
+        assertTrue(said(start(Map.of(), "config", "check", "--json"), 0).startsWith("{\"descriptors\":1024,"));
+    }
+
+    /** The platform gives no operator's file: what it runs must be as without one. */
+    @Test public void thePlatformsRunLineNamesNoOperatorsFile() throws Exception {
+        String run = Files.readAllLines(Path.of("../deploy/balancer.toml")).stream().filter(line -> line.startsWith("run ")).findFirst()
+                .orElseThrow();
+        assertTrue(run, run.endsWith("-jar router/target/streamproxy.jar serve\""));
+    }
 }
