--- a/decision/src/main/java/streamproxy/limits/ConnectionLimits.java
+++ b/decision/src/main/java/streamproxy/limits/ConnectionLimits.java
@@ -23,7 +23,7 @@
     /** What an active connection adds with its thread and buffers, in KB; 148 MB were measured with 605 of them. */
     private static final int ACTIVE_KB = 140;
     /** What an idle one adds outside the heap, in KB: the kernel's socket, file and poll entry. */
-    private static final int IDLE_KB = 3;
+    private static final int IDLE_KB = 4;
     /** What an idle client's connection takes of the heap, in bytes, the JDK's channel included; see docs/connections.md. */
     private static final int IDLE_HEAP_BYTES = 1_400;
     /** Share of the heap that idle connections may take. */
