Spread those turned away over the time that the accepting pace needs

Change: ClientConnections asks ComeBack with the limits' own pace, under its own lock. The story of the most active requests now sets a pace and wants a wait of over a second among twenty, which the old line could not give (1.0 s at most).

--- a/router/src/main/java/streamproxy/routing/ClientConnection.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnection.java
@@ -41,6 +41,8 @@
 
     Connection connection() { return connection; }
 
+    String[] later() { return all.later(); }
+
     /** Waits for a request, which may never come, without a thread. */
     void awaitRequest() { watch = all.watch(this, phaseAt); }
 
--- a/router/src/main/java/streamproxy/routing/ClientConnections.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnections.java
@@ -28,16 +28,6 @@
     public record Desk(ModuleActor module, Clock clock, List<String> classes, List<String> tenants, Budget bodyBytes,
             TakenIds taken, QuietConnections quiet, Timers timers, BooleanSupplier ready, BooleanSupplier leaving,
             ComeBack comeBack, long comeBackMostNs) {
-        /** The field that tells a client for which there is no room when to come back; none where it may not be told. */
-        String[] later() {
-            long now = System.nanoTime();
-            long after;
-            synchronized (comeBack) {
-                after = comeBack.after(now, Double.POSITIVE_INFINITY, comeBackMostNs);
-            }
-            return after == 0 ? new String[0] : new String[] {retryAfter(after)};
-        }
-
         static String retryAfter(long ns) { return "Retry-After: " + String.format(Locale.ROOT, "%.3f", ns / SECOND); }
     }
 
@@ -173,8 +163,14 @@
         }
     }
 
+    /** The field that tells a client for which there is no room when to come back; none where it may not be told. */
+    synchronized String[] later() {
+        long after = desk.comeBack.after(System.nanoTime(), admission.limits().acceptsPerS(), desk.comeBackMostNs);
+        return after == 0 ? new String[0] : new String[] {Desk.retryAfter(after)};
+    }
+
     /** What a client is told for which there is no room. */
-    byte[] tooMuch() { return HttpWriter.whole(503, "too much at once", true, desk.later()); }
+    byte[] tooMuch() { return HttpWriter.whole(503, "too much at once", true, later()); }
 
     // ---- Leaving ------------------------------------------------------------------------------------
 
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -96,7 +96,7 @@
 
     private boolean reject(BadMessage e) {
         try {
-            writer.answer(e.status(), e.getMessage(), true, e.status() == 503 ? desk.later() : new String[0]);
+            writer.answer(e.status(), e.getMessage(), true, e.status() == 503 ? at.later() : new String[0]);
             return true;
         } catch (IOException lost) {
             Logger.debug(lost, "a client left before it heard of its mistake");
@@ -158,7 +158,7 @@
         Request request = new Request(prompted, clazz, Math.max(0, desk.tenants().indexOf(prompted.tenant())),
                 new PassedOn(head.method(), head.target(), prompted.id(), body), this, desk.clock().now());
         if (!desk.module().taken(request)) {
-            return say(503, "too much at once", head, desk.later());
+            return say(503, "too much at once", head, at.later());
         }
         return answer(request, head);
     }
--- a/router/src/test/java/streamproxy/stories/ConnectionStories.java
+++ b/router/src/test/java/streamproxy/stories/ConnectionStories.java
@@ -161,7 +161,7 @@
 
     @Test public void beyondTheMostActiveARequestIsToldAtOnceWhenToComeBack() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(1024, 4096, PATIENT + "active_most = 3\n", e -> {
+        ScriptedBox box = routerOver(1024, 4096, PATIENT + "active_most = 3\naccepts_per_s = 10\n", e -> {
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
         });
@@ -170,10 +170,15 @@
             taken.add(keep(new Caller(router.address())).send(Caller.prompt("taken" + i, "{}")));
         }
         await("three are under way", () -> box.attempts.size() == 3);
+        double longest = 0;
         for (int i = 0; i < 20; i++) {
             String answer = keep(new Caller(router.address())).send(Caller.prompt("late" + i, "{}")).readAll();
             assertTrue(answer, answer.startsWith("HTTP/1.1 503 ") && answer.contains("\r\nRetry-After: "));
+            int at = answer.indexOf("Retry-After: ") + 13;
+            longest = Math.max(longest, Double.parseDouble(answer.substring(at, answer.indexOf('\r', at))));
         }
+        // At ten a second so many are not taken on within a second: told that, they would be turned away once more.
+        assertTrue("longest wait " + longest, longest > 1.0 && longest <= 2.0);
         assertEquals(20, router.clients().activeFull());
         go.countDown();
         for (Caller caller : taken) {
