Tell every answer, refusal, attempt and drain as a record, by syslog and as JSON lines

On mornings of late answers the logs were free text. Now one event for each, made where both sides are done with a request and put into words elsewhere: RFC 5424 over UDP, TCP and TLS, a bounded queue without a lock that drops by rank and counts, a spool on disk, fail-over, keys reread on SIGHUP, JSON lines, and streamproxy log to find and sum up. The module says why it chose. Off unless an operator names a collector.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -429,7 +429,7 @@
         }
         classWork[in.clazz()] += in.promptTokens();
         if (shed(q.clazz) && !toCold(now, q)) { // a cold replica has its turns whatever the backlog
-            answer(q);
+            answer(q, Choice.SHED);
             return;
         }
         step(now, q);
@@ -462,12 +462,12 @@
             return;
         }
         if (now >= q.endAt) {
-            answer(q);
+            answer(q, Choice.SPENT);
             return;
         }
         if (!q.out()) {
             if (q.attempts.size() >= set.limits().maxAttempts() || !mayRepeat(now, q, null)) {
-                answer(q);
+                answer(q, Choice.SPENT);
                 return;
             }
             place(now, q);
@@ -549,7 +549,7 @@
         for (Rep r : iqueue) {
             if (usable(now, r, q) && busy(now, r) <= z()) {
                 if (keeps(p, r)) {
-                    send(now, q, r);
+                    send(now, q, r, Choice.KEEPER);
                     return true;
                 }
                 if (front == null) {
@@ -559,7 +559,7 @@
         }
         // A shared beginning longer than z would by itself make the front busy: its keepers are drawn from.
         if (front != null && (p == null || q.in.prefixTokens() <= z())) {
-            send(now, q, front);
+            send(now, q, front, Choice.LIST);
             return true;
         }
         return false;
@@ -677,7 +677,7 @@
             held.add(q);
             return;
         }
-        send(now, q, to);
+        send(now, q, to, Choice.DRAWN);
     }
 
     /** Tokens before this prompt's answer at r: unread there, and its beginning where it is not kept. */
@@ -709,7 +709,7 @@
                 long turn = turnOf(now, r, carried);
                 if (turn > r.coldTurn && Math.floorMod(turn + r.ring, (long) set.gateways()) == set.me()) {
                     r.coldTurn = turn;
-                    send(now, q, r);
+                    send(now, q, r, Choice.COLD_TURN);
                     return true;
                 }
             }
@@ -740,7 +740,7 @@
 
     // ---- Attempts -------------------------------------------------------------------------------------
 
-    private void send(long now, Req q, Rep r) {
+    private void send(long now, Req q, Rep r, Choice why) {
         waiting.remove(q);
         q.probesUntil = -1;
         delist(r);
@@ -754,6 +754,7 @@
         r.sentSince += q.in.promptTokens();
         r.pending += q.in.promptTokens();
         r.trial = r.ejectedUntil > 0;
+        out.chosen(q.in.request(), why);
         out.send(q.in.request(), r.id, Math.max(1, q.endAt - now));
         wake(now, q);
     }
@@ -792,6 +793,9 @@
             meanFirst += 0.05 * (now - a.at - meanFirst);
             a.to.pending = Math.max(0, a.to.pending - q.in.promptTokens());
             a.to.strikes = 0;
+            if (a.to.ejectedUntil > 0) {
+                out.leftOut(a.to.id, false);
+            }
             a.to.ejectedUntil = 0;
             a.to.trial = a.to.reset = false;
         }
@@ -836,7 +840,8 @@
     }
 
     /** The one final answer; refused where that is true, failed else. */
-    private void answer(Req q) {
+    private void answer(Req q, Choice why) {
+        out.chosen(q.in.request(), why);
         if (mayRefuse(q)) {
             // Refused work feeds the overload if it comes back at once: the client is told when to come back.
             out.refuse(q.in.request(), set.limits().retryAfter() ? set.limits().maxRetryAfterNs() : 0);
@@ -904,6 +909,7 @@
         if (gone + 1 <= share * fleet.size()) {
             long away = Math.min(EJECT_LONGEST, EJECT_FIRST << Math.min(10, r.strikes - 1));
             r.ejectedUntil = now + away / 2 + random.nextLong(away);
+            out.leftOut(r.id, true);
         }
     }
 
--- a/decision/src/main/java/streamproxy/decision/Routing.java
+++ b/decision/src/main/java/streamproxy/decision/Routing.java
@@ -38,6 +38,22 @@
         public boolean neverRan() { return neverRan; }
     }
 
+    /** Why a replica was chosen for an attempt, or a request turned away. */
+    public enum Choice {
+        /** Idle by its report, and it keeps the prompt's beginning. */
+        KEEPER,
+        /** Idle by its report, at the front of the list. */
+        LIST,
+        /** The best of some drawn at random. */
+        DRAWN,
+        /** A cold one's turn. */
+        COLD_TURN,
+        /** Turned away, as the fleet reports a backlog. */
+        SHED,
+        /** Out of attempts, of time, or of replicas where a repeat is harmless. */
+        SPENT
+    }
+
     /** One request class. Token figures are per prompt token; {@code lateWorth} is a share of the worth. */
     public record RequestClass(String name, Effect effect, Group group, long windowNs, long aimNs,
             double aimNsPerToken, long giveUpNs, double worth, double lateWorth, boolean stream) {
@@ -149,6 +165,12 @@
         void fetchList();
 
         void log(String line);
+
+        /** Why the next {@link #send} or the next final answer of that request is as it is; for records alone. */
+        default void chosen(long request, Choice why) { }
+
+        /** A replica gets nothing for a while, or something again; for records alone. */
+        default void leftOut(long replica, boolean out) { }
     }
 
     private static void require(boolean ok, String what) {
--- a/lab/src/main/java/streamproxy/lab/ReconnectCommand.java
+++ b/lab/src/main/java/streamproxy/lab/ReconnectCommand.java
@@ -1,6 +1,9 @@
 package streamproxy.lab;
 
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import picocli.CommandLine.Command;
@@ -38,10 +41,26 @@
         System.out.println(results.text(setup.json));
         if (setup.out != null) {
             results.csv(setup.out, "reconnect");
+            draw(results, "all_back_s", "Until all were answered again", "seconds");
+            draw(results, "busy_p95_ms", "The busy clients' 95th percentile meanwhile", "ms");
         }
         return 0;
     }
 
+    /** The median of the runs by how many came back, a line for each pace. */
+    private void draw(Results results, String column, String title, String unit) throws Exception {
+        Map<String, List<double[]>> lines = new LinkedHashMap<>();
+        for (int pace : paces) {
+            List<double[]> points = new ArrayList<>();
+            for (int count : clients) {
+                List<Double> figures = results.figures(column, Map.of("clients", count, "accepts_per_s", pace)).stream().sorted().toList();
+                points.add(new double[] {count, figures.get(figures.size() / 2)});
+            }
+            lines.put(pace == 0 ? "unpaced" : pace + " a second", points);
+        }
+        Results.chart(setup.out, "reconnect-" + column.replaceAll("_.*", ""), title, "clients", unit, false, lines);
+    }
+
     private void measure(int count, int pace, Results results) throws Exception {
         String operator = pace > 0 ? "accepts_per_s = " + pace : "";
         try (StandIns fleet = new StandIns(BOXES); RouterProcess router = setup.router(fleet, count, operator);
--- a/lab/src/main/java/streamproxy/lab/Results.java
+++ b/lab/src/main/java/streamproxy/lab/Results.java
@@ -32,9 +32,12 @@
 
     int column(String name) { return columns.indexOf(name); }
 
-    /** The figures of one column in the rows where another has that value; all rows where {@code where} is null. */
-    List<Double> figures(String column, String where, Object value) {
-        return rows.stream().filter(r -> where == null || r.get(column(where)).equals(value))
+    /** The figures of one column in the rows where another has that value. */
+    List<Double> figures(String column, String where, Object value) { return figures(column, Map.of(where, value)); }
+
+    /** The figures of one column in the rows where each of those columns has its value. */
+    List<Double> figures(String column, Map<String, ?> where) {
+        return rows.stream().filter(r -> where.entrySet().stream().allMatch(w -> r.get(column(w.getKey())).equals(w.getValue())))
                 .map(r -> ((Number) r.get(column(column))).doubleValue()).collect(Collectors.toList());
     }
 
--- a/lab/src/main/java/streamproxy/lab/Setup.java
+++ b/lab/src/main/java/streamproxy/lab/Setup.java
@@ -25,6 +25,9 @@
     @Option(names = "--memory-mb", defaultValue = "192", description = "The memory its configuration states; ${DEFAULT-VALUE} by default.")
     int memoryMb;
 
+    @Option(names = "--core", paramLabel = "N", description = "Binds the router to that core (taskset); to none by default.")
+    Integer core;
+
     @Option(names = "--busy", defaultValue = "100", description = "Busy clients; ${DEFAULT-VALUE} by default.")
     int busy;
 
@@ -41,7 +44,8 @@
     RouterProcess router(StandIns fleet, int clients, String more) throws IOException, InterruptedException {
         int descriptors = Math.min(descriptors(), (clients + busy) * 8 / 7 + 1500); // an eighth is for the model boxes
         String operator = String.format(Locale.ROOT, "[connections]%nclients_most = %d%nclient_idle_s = 3600%n%s%n", clients + busy + 20, more);
-        return RouterProcess.start(jar, flags, descriptors, memoryMb, operator, fleet);
+        List<String> bound = core == null ? List.of() : List.of("taskset", "-c", String.valueOf(core));
+        return RouterProcess.start(bound, jar, flags, descriptors, memoryMb, operator, fleet);
     }
 
     /** The most descriptors that a process may hold here. */
--- /dev/null
+++ b/records/src/main/java/streamproxy/records/Shape.java
@@ -0,0 +1,103 @@
+package streamproxy.records;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** The one place that puts events into words. */
+public final class Shape {
+    private static final double MS = 1e6;
+
+    /** Params of one element as they gather; what has no value is left out. */
+    private static final class Params {
+        private final List<Told.Param> params = new ArrayList<>();
+
+        Params text(Names name, String value) {
+            if (value != null && !value.isEmpty()) {
+                params.add(name.with(value));
+            }
+            return this;
+        }
+
+        Params count(Names name, long value) { return value < 0 ? this : text(name, Long.toString(value)); }
+
+        Params ms(Names name, long ns) { return ns < 0 ? this : text(name, millis(ns)); }
+
+        List<Told.Element> in(String element) { return List.of(new Told.Element(element, true, params)); }
+    }
+
+    private Shape() { }
+
+    /** The event in words. */
+    public static Told of(Event event) {
+        if (event instanceof Event.Answered e) {
+            return answered(e);
+        } else if (event instanceof Event.AttemptEnded e) {
+            List<Told.Element> said = new Params().text(Names.ATTEMPT_ID, e.id()).count(Names.ATTEMPT_NUMBER, e.number())
+                    .text(Names.ATTEMPT_BOX, e.tried().box()).text(Names.ATTEMPT_OUTCOME, e.tried().outcome())
+                    .text(Names.ATTEMPT_DECISION, e.tried().decision()).ms(Names.ATTEMPT_TOOK, e.tried().tookNs()).in("attempt");
+            return told(event, Told.INFO, said, "attempt " + e.number() + " at " + e.tried().box() + ": " + e.tried().outcome());
+        } else if (event instanceof Event.BoxChanged e) {
+            List<Told.Element> said = new Params().text(Names.BOX_ID, e.box()).text(Names.BOX_STATE, e.state())
+                    .text(Names.BOX_ENDPOINT, e.endpoint()).text(Names.BOX_WHY, e.why()).in("box");
+            return told(event, e.state().equals("left_out") ? Told.WARNING : Told.NOTICE, said, "box " + e.box() + " is " + e.state());
+        } else if (event instanceof Event.ListChanged e) {
+            List<Told.Element> said = new Params().text(Names.LIST_FORM, e.form()).count(Names.LIST_NAMED, e.named())
+                    .count(Names.LIST_KNOWN, e.known()).in("list");
+            return told(event, e.form().equals("failed") ? Told.WARNING : Told.INFO, said, "the box list: " + e.form());
+        } else if (event instanceof Event.Reloaded e) {
+            boolean done = e.why().isEmpty();
+            List<Told.Element> said = new Params().text(Names.RELOAD_RESULT, done ? "done" : "refused").text(Names.RELOAD_WHY, e.why())
+                    .in("reload");
+            return told(event, done ? Told.NOTICE : Told.ERROR, said, done ? "the configuration was read anew" : e.why());
+        } else if (event instanceof Event.PhaseEntered e) {
+            return told(event, Told.NOTICE, new Params().text(Names.PHASE_NAME, e.phase()).text(Names.PHASE_AFTER, e.after()).in("phase"),
+                    e.phase() + " after " + e.after());
+        }
+        return queue((Event.QueueState) event);
+    }
+
+    private static Told answered(Event.Answered e) {
+        Params params = new Params().text(Names.REQUEST_ID, e.id()).text(Names.REQUEST_END, e.how().word())
+                .text(Names.REQUEST_CLASS, e.clazz()).text(Names.REQUEST_TENANT, e.tenant())
+                .text(Names.REQUEST_KEY, e.key() == 0 ? "" : Long.toHexString(e.key())).text(Names.REQUEST_BOX, e.box())
+                .text(Names.REQUEST_DECISION, e.decision()).ms(Names.REQUEST_BUDGET, e.budgetNs()).ms(Names.REQUEST_WAIT, e.waitNs())
+                .ms(Names.REQUEST_CONNECT, e.connectNs()).ms(Names.REQUEST_FIRST, e.firstNs()).ms(Names.REQUEST_WHOLE, e.wholeNs())
+                .count(Names.REQUEST_TOKENS, e.tokens()).count(Names.REQUEST_KEPT, e.keptTokens()).count(Names.REQUEST_BYTES, e.bytes())
+                .ms(Names.REQUEST_RETRY, e.retryNs());
+        for (int i = 0; i < e.attempts().size(); i++) {
+            Event.Tried tried = e.attempts().get(i);
+            params.text(Names.REQUEST_TRIED, i + " " + tried.box() + " " + tried.outcome() + " " + tried.decision() + " "
+                    + (tried.tookNs() < 0 ? "-" : millis(tried.tookNs())));
+        }
+        int severity = switch (e.how()) {
+            case SERVED, LEFT -> Told.INFO;
+            case REFUSED -> Told.NOTICE;
+            default -> Told.WARNING;
+        };
+        String sentence = e.clazz() + " " + e.how().word() + (e.box().isEmpty() ? "" : " by " + e.box())
+                + (e.wholeNs() < 0 ? "" : " after " + millis(e.wholeNs()) + " ms");
+        return told(e, severity, params.in("request"), sentence);
+    }
+
+    private static Told queue(Event.QueueState e) {
+        long dropped = e.dropped().stream().mapToLong(n -> n).sum();
+        Params params = new Params().text(Names.QUEUE_COLLECTOR, e.collector()).count(Names.QUEUE_SENT, e.sent())
+                .count(Names.QUEUE_DROPPED, dropped);
+        for (Event.Kind kind : Event.Kind.values()) {
+            long of = kind.ordinal() < e.dropped().size() ? e.dropped().get(kind.ordinal()) : 0;
+            if (of > 0) {
+                params.params.add(new Told.Param("dropped_" + kind.word(), Long.toString(of), Names.QUEUE_DROPPED_OF.worth()));
+            }
+        }
+        params.count(Names.QUEUE_WAITING, e.waiting()).count(Names.QUEUE_CONNECTS, e.connects());
+        return told(e, dropped > 0 ? Told.WARNING : Told.INFO, params.in("queue"),
+                dropped > 0 ? dropped + " records were dropped" : e.sent() + " records were sent");
+    }
+
+    private static Told told(Event event, int severity, List<Told.Element> elements, String sentence) {
+        return new Told(event.atMs(), event.kind(), severity, elements, sentence);
+    }
+
+    private static String millis(long ns) { return String.format(Locale.ROOT, "%.3f", ns / MS); }
+}
--- a/router/src/main/java/streamproxy/program/Commands.java
+++ b/router/src/main/java/streamproxy/program/Commands.java
@@ -15,10 +15,11 @@
 /** All commands but the plain ones that {@link Main} runs by itself, as a command line with options and help. */
 @Command(name = "streamproxy", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "Routes requests for a language model to the model boxes that serve them.",
-        subcommands = {Commands.Serve.class, Commands.Link.class, ConfigCommand.class},
+        subcommands = {Commands.Serve.class, Commands.Link.class, ConfigCommand.class, LogCommand.class},
         footer = {"", "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 a configuration that cannot be used.", "", "Examples:",
                 "  streamproxy serve --operator deploy/streamproxy.ini",
-                "  streamproxy config check --operator deploy/streamproxy.ini --json"})
+                "  streamproxy config check --operator deploy/streamproxy.ini --json",
+                "  streamproxy log --class complete --sum records.log"})
 final class Commands implements Callable<Integer> {
 
     @Spec private CommandSpec spec;
--- a/router/src/main/java/streamproxy/program/ConfigCommand.java
+++ b/router/src/main/java/streamproxy/program/ConfigCommand.java
@@ -57,6 +57,7 @@
                 descriptors = node.sockets();
                 memoryMb = node.memoryMb();
             }
+            SyslogSettings.wishes(file, 0);
             ConnectionLimits limits = Router.limits(descriptors, memoryMb, file);
             Map<String, String> shown = new LinkedHashMap<>();
             shown.put("descriptors", String.valueOf(descriptors));
--- a/router/src/main/java/streamproxy/program/Lifecycle.java
+++ b/router/src/main/java/streamproxy/program/Lifecycle.java
@@ -1,5 +1,6 @@
 package streamproxy.program;
 
+import java.util.function.BiConsumer;
 import org.tinylog.Logger;
 
 /**
@@ -10,8 +11,14 @@
     /** Where the program is: SERVING and RELOADING are ready, and both and LEAVING take new connections. */
     public enum Phase { STARTING, SERVING, RELOADING, LEAVING, FINISHING, STOPPED }
 
+    private final BiConsumer<Phase, Phase> told;
     private Phase phase = Phase.STARTING;
 
+    public Lifecycle() { this((phase, after) -> { }); }
+
+    /** @param told is told each phase that is entered, and the one before; it does not wait */
+    public Lifecycle(BiConsumer<Phase, Phase> told) { this.told = told; }
+
     public synchronized Phase phase() { return phase; }
 
     /** Enters a later phase; false where the program is there or further already. */
@@ -45,6 +52,7 @@
 
     private void become(Phase next) {
         Logger.info("{} after {}", next, phase);
+        told.accept(next, phase);
         phase = next;
     }
 
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -18,6 +18,7 @@
 import streamproxy.decision.Routing;
 import streamproxy.decision.SettingsText;
 import streamproxy.routing.TakenIds;
+import streamproxy.syslog.Syslog;
 import streamproxy.transport.Budget;
 import streamproxy.transport.Listener;
 import streamproxy.transport.QuietConnections;
@@ -32,7 +33,8 @@
     /** Share of the heap that the bodies of requests in work may hold. */
     private static final double BODIES_SHARE = 0.35;
 
-    private final Lifecycle lifecycle = new Lifecycle();
+    private final Lifecycle lifecycle;
+    private final Recording recording;
     private final QuietConnections quiet;
     private final Timers timers = new Timers();
     private final ClientConnections clients;
@@ -48,6 +50,8 @@
 
     public Router(NodeConfig config, OperatorFile operator) throws IOException, Unusable {
         this.config = config;
+        recording = Recording.of(operator, config.seed());
+        lifecycle = new Lifecycle(recording::phase);
         Clock clock = new Clock();
         SettingsText text = new SettingsText(config.settings());
         Routing.Settings settings = text.settings();
@@ -59,14 +63,15 @@
         this.limits = limits;
         ModelBoxes boxes = new ModelBoxes(new ModelBoxes.Desk(text.deployment(), text.reportLayout(), boxPlaces, clock, quiet,
                 () -> this.limits));
-        module = new ModuleActor(text, config.seed(), clock, boxes);
+        module = new ModuleActor(text, config.seed(), clock, boxes, recording.records());
         boxes.reportTo(module);
         list = new BoxList(config.discovery(), new Budget(LIST_CALLS), module);
         Routing.Limits may = settings.limits();
         clients = new ClientConnections(new ClientConnections.Desk(module, clock,
                 settings.classes().stream().map(c -> c.name()).toList(), text.deployment().tenants(), bodyBytes,
                 new TakenIds(), quiet, timers, () -> lifecycle.ready() && module.knowsBoxes(), lifecycle::leaving,
-                new ComeBack(config.seed()), may.retryAfter() ? may.maxRetryAfterNs() : 0), limits);
+                new ComeBack(config.seed()), may.retryAfter() ? may.maxRetryAfterNs() : 0, recording.records()),
+                limits);
         listener = new Listener(config.listen(), clients);
     }
 
@@ -83,6 +88,7 @@
     private static long heap() { return Runtime.getRuntime().maxMemory(); }
 
     public void start() {
+        recording.start();
         list.startFrom(known);
         module.start();
         quiet.start();
@@ -114,12 +120,17 @@
                 limits = limits(config.sockets(), config.memoryMb(), operator);
                 clients.change(limits);
                 list.moveTo(discovery);
+                recording.reloaded(operator);
             } catch (Unusable e) {
+                recording.refused(e.getMessage());
                 Logger.error("reload: {}; the old configuration stays", e.getMessage());
             }
         });
     }
 
+    /** What became of the records so far; null where none are sent. */
+    public Syslog.Counts records() { return recording.counts(); }
+
     /** How many connections clients hold, and how often room was short. */
     public Admission.Counts clients() { return clients.counts(); }
 
@@ -134,6 +145,7 @@
         clients.finish();
         lifecycle.enter(Lifecycle.Phase.STOPPED);
         Logger.info("all that was taken is answered");
+        recording.close();
     }
 
     /** Stops taking connections, whatever is in work. */
--- a/router/src/main/java/streamproxy/protocol/EventStream.java
+++ b/router/src/main/java/streamproxy/protocol/EventStream.java
@@ -48,6 +48,11 @@
         }
     }
 
+    /** Whether an event has text of the answer: it is data, and not the word that ends the stream. */
+    public static boolean isText(byte[] event) {
+        return event.length > 6 && event[0] == 'd' && event[4] == ':' && event[5 + (event[5] == ' ' ? 1 : 0)] != '[';
+    }
+
     /** The prompt tokens that the model box found kept, where this event tells them; else -1. */
     public static double keptTokens(byte[] event) {
         String text = new String(event, StandardCharsets.UTF_8);
--- a/router/src/main/java/streamproxy/protocol/OperatorFile.java
+++ b/router/src/main/java/streamproxy/protocol/OperatorFile.java
@@ -1,8 +1,11 @@
 package streamproxy.protocol;
 
 import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import streamproxy.limits.ConnectionLimits;
 import streamproxy.protocol.NodeConfig.Unusable;
 
@@ -67,12 +70,19 @@
         }
     }
 
+    private static final String COLLECTOR = "syslog collector ";
+    private static final Set<String> SYSLOG = Set.of("json", "to", "facility", "host", "app", "enterprise", "clock_synced", "queue",
+            "fail_back_s", "drain_s", "report_s", "stalled_s", "spool", "spool_mb");
+    private static final Set<String> COLLECTORS = Set.of("address", "transport", "framing", "most_bytes", "trust_store",
+            "trust_password_file", "key_store", "key_password_file", "check_name");
+
     /** No file: everything is as the deployment says. */
     public static final OperatorFile NONE = new OperatorFile("", "", new EnumMap<>(Key.class));
 
     private final String name;
     private final String text;
     private final Map<Key, Double> set;
+    private final Map<String, Map<String, String>> texts = new LinkedHashMap<>();
 
     OperatorFile(String name, String text, Map<Key, Double> set) {
         this.name = name;
@@ -86,6 +96,26 @@
         return new Unusable(name + ": line " + lineOf(section, key) + ":" + what + " " + why);
     }
 
+    /** The keys of a section that holds texts; null for any other. Sections {@code syslog collector NAME} are one kind. */
+    static Set<String> textKeys(String section) {
+        return section == null ? null : section.equals("syslog") ? SYSLOG : section.startsWith(COLLECTOR) ? COLLECTORS : null;
+    }
+
+    void setText(String section, String word, String value) { texts.get(section).put(word, value); }
+
+    void addSection(String section) { texts.put(section, new LinkedHashMap<>()); }
+
+    /** The texts of a section in their order; null where the file does not have it. */
+    public Map<String, String> section(String section) { return texts.get(section); }
+
+    /** The names of the collectors that the file has sections for, in their order. */
+    public List<String> collectors() {
+        return texts.keySet().stream().filter(s -> s.startsWith(COLLECTOR)).map(s -> s.substring(COLLECTOR.length())).toList();
+    }
+
+    /** The section of a collector. */
+    public static String collectorSection(String collector) { return COLLECTOR + collector; }
+
     /** Whether the file sets the key of that word. */
     public boolean says(String word) { return set.keySet().stream().anyMatch(key -> key.word().equals(word)); }
 
--- a/router/src/main/java/streamproxy/protocol/OperatorReader.java
+++ b/router/src/main/java/streamproxy/protocol/OperatorReader.java
@@ -48,6 +48,10 @@
         OperatorFile read = new OperatorFile(name, text, set);
         for (String section : ini.getSections()) {
             SubnodeConfiguration part = ini.getSection(section);
+            if (OperatorFile.textKeys(section) != null) {
+                texts(read, section, part);
+                continue;
+            }
             if (section == null ? !part.isEmpty() : !known.containsKey(section)) {
                 throw read.unusable(section, null, section == null ? "a key before the first section" : "no such section");
             }
@@ -63,6 +67,20 @@
         return read;
     }
 
+    private static void texts(OperatorFile read, String section, SubnodeConfiguration part) throws Unusable {
+        read.addSection(section);
+        for (Iterator<String> keys = part.getKeys(); keys.hasNext();) {
+            String word = keys.next();
+            if (!OperatorFile.textKeys(section).contains(word)) {
+                throw read.unusable(section, word.replace("..", "."), "no such key");
+            }
+            if (part.getProperty(word) instanceof Collection) {
+                throw read.unusable(section, word, "set more than once");
+            }
+            read.setText(section, word, String.valueOf(part.getProperty(word)).strip());
+        }
+    }
+
     private static double value(OperatorFile read, Key key, Object written) throws Unusable {
         if (written instanceof Collection) {
             throw read.unusable(key.section(), key.word(), "set more than once");
--- a/router/src/main/java/streamproxy/routing/Attempt.java
+++ b/router/src/main/java/streamproxy/routing/Attempt.java
@@ -1,6 +1,7 @@
 package streamproxy.routing;
 
 import java.util.concurrent.atomic.AtomicReference;
+import streamproxy.decision.Routing;
 import streamproxy.timing.TimerWheel;
 import streamproxy.transport.Connection;
 
@@ -14,13 +15,21 @@
     final long sentAt;
     final long endsAt;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.OUT);
-    TimerWheel.Timer timeOut; // the module's actor alone touches it
+    final String box; // its uid
+    final Routing.Choice choice;
+    TimerWheel.Timer timeOut; // the module's actor alone touches it, and the next two
+    Routing.Outcome outcome;
+    long tookNs = -1;
+    volatile long writtenAt; // 0 until its bytes have gone out
+    volatile long keptTokens = -1;
     private volatile Connection connection;
 
-    Attempt(Request request, int number, long boxId, long sentAt, long endsAt) {
+    Attempt(Request request, int number, long boxId, String box, Routing.Choice choice, long sentAt, long endsAt) {
         this.request = request;
         this.number = number;
         this.boxId = boxId;
+        this.box = box;
+        this.choice = choice;
         this.sentAt = sentAt;
         this.endsAt = endsAt;
     }
--- a/router/src/main/java/streamproxy/routing/BoxConnection.java
+++ b/router/src/main/java/streamproxy/routing/BoxConnection.java
@@ -156,6 +156,7 @@
             long left = Math.max(1, attempt.endsAt - box.clock.now());
             writer.passOn(request, to.getHostString() + ":" + to.getPort(), left / SECOND);
             written = true;
+            attempt.writtenAt = box.clock.now();
             HttpHead head = reader.answer(left + BEYOND);
             answered = true;
             LoadReport report = report(head.get("Srv-Load"));
@@ -221,6 +222,7 @@
             box.module.left(attempt.request);
             return false;
         }
+        attempt.keptTokens = (long) kept;
         client.ended();
         box.module.over(attempt, Outcome.OK, kept, last);
         return true;
--- a/router/src/main/java/streamproxy/routing/ClientConnection.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnection.java
@@ -86,6 +86,7 @@
     /** Says at once that there is no room, and when to come back, without a thread. */
     void turnAway() {
         phase = Phase.OVER;
+        all.desk().records().turnedAway(null, "no_room");
         all.part(this, all.tooMuch());
     }
 
--- a/router/src/main/java/streamproxy/routing/ClientConnections.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnections.java
@@ -23,11 +23,12 @@
     /**
      * What all clients' connections of the program share.
      *
+     * @param records        whom to tell what became of requests
      * @param comeBackMostNs the longest wait that clients heed, in nanoseconds; 0 where they are told none
      */
     public record Desk(ModuleActor module, Clock clock, List<String> classes, List<String> tenants, Budget bodyBytes,
             TakenIds taken, QuietConnections quiet, Timers timers, BooleanSupplier ready, BooleanSupplier leaving,
-            ComeBack comeBack, long comeBackMostNs) {
+            ComeBack comeBack, long comeBackMostNs, Records records) {
         static String retryAfter(long ns) { return "Retry-After: " + String.format(Locale.ROOT, "%.3f", ns / SECOND); }
     }
 
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -6,12 +6,14 @@
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import streamproxy.protocol.BadMessage;
+import streamproxy.protocol.EventStream;
 import streamproxy.protocol.HttpHead;
 import streamproxy.protocol.HttpReader;
 import streamproxy.protocol.HttpWriter;
 import streamproxy.protocol.Json;
 import streamproxy.protocol.PassedOn;
 import streamproxy.protocol.PromptHeaders;
+import streamproxy.records.Event;
 import streamproxy.timing.TimerWheel;
 import streamproxy.transport.Connection;
 
@@ -66,6 +68,12 @@
     private final Stall stall = new Stall();
     private final Whole whole = new Whole();
     private volatile boolean gone;
+    // Of the answer that is being given; this thread alone touches them.
+    private Event.Final how;
+    private long firstAt;
+    private long events;
+    private long bytes;
+    private long retryNs;
 
     Exchange(ClientConnection at, Connection connection, ClientConnections.Desk desk) {
         this.at = at;
@@ -146,6 +154,7 @@
             throw new BadMessage(400, "Req-Kind is unknown");
         }
         if (!desk.bodyBytes().tryTake(size, 0)) {
+            desk.records().turnedAway(prompted, "no_memory");
             // Short of memory: turned away before its body takes any.
             throw new BadMessage(503, "too much at once");
         }
@@ -168,14 +177,28 @@
             return false; // given up for others meanwhile
         }
         if (!desk.taken().add(prompted.id())) {
+            desk.records().turnedAway(prompted, "taken_before");
             throw new BadMessage(409, "Req-Id is taken"); // a box would see a second copy of that request
         }
         Request request = new Request(prompted, clazz, Math.max(0, desk.tenants().indexOf(prompted.tenant())),
                 new PassedOn(head.method(), head.target(), prompted.id(), body), this, desk.clock().now());
         if (!desk.module().taken(request)) {
+            desk.records().turnedAway(prompted, "mailbox_full");
             return say(503, "too much at once", head, at.later());
         }
-        return answer(request, head);
+        how = Event.Final.LEFT; // unless it gets its answer
+        firstAt = 0;
+        events = 0;
+        bytes = 0;
+        retryNs = -1;
+        try {
+            return answer(request, head);
+        } finally {
+            request.end = new Request.End(how, firstAt, desk.clock().now(), events, bytes, retryNs);
+            if (request.sideDone()) {
+                desk.records().answered(request);
+            }
+        }
     }
 
     /** Its time has ended with it; false where the connection was given up for others before. */
@@ -205,19 +228,27 @@
                         } else {
                             writer.firstEvent(letter.event, closing(head));
                             begun = true;
+                            firstAt = desk.clock().now();
                         }
+                        bytes += letter.event.length;
+                        events += EventStream.isText(letter.event) ? 1 : 0;
                     }
                     case ENDED -> {
                         writer.lastChunk();
+                        how = Event.Final.SERVED;
                         return !closing(head);
                     }
                     case REFUSED -> {
+                        how = Event.Final.REFUSED;
+                        retryNs = letter.retryAfterNs > 0 ? letter.retryAfterNs : -1;
                         return say(503, "refused", head, ClientConnections.Desk.retryAfter(letter.retryAfterNs));
                     }
                     case FAILED -> {
+                        how = Event.Final.FAILED;
                         return say(500, "failed", head);
                     }
                     default -> {
+                        how = Event.Final.BROKEN;
                         return false; // a broken stream: closed without the last chunk
                     }
                 }
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -86,7 +86,9 @@
     private final Boxes boxes;
     private final Policy policy;
     private final Map<Long, Request> requests = new HashMap<>();
-    private final Set<Long> known = new HashSet<>();
+    private final Map<Long, String> known = new HashMap<>(); // the boxes' uids
+    private final Map<Long, String> states = new HashMap<>(); // of boxes, for records alone
+    private final Records records;
     private final TimerWheel wheel;
     /** Events that an action brings about at once; the module gets them after the event it is at. */
     private final ArrayDeque<Message> own = new ArrayDeque<>();
@@ -96,8 +98,11 @@
     private long numbers;
     private volatile boolean knowsBoxes;
 
-    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes) {
+    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes) { this(text, seed, clock, boxes, Records.NONE); }
+
+    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes, Records records) {
         super("module", MAILBOX);
+        this.records = records;
         this.clock = clock;
         this.boxes = boxes;
         deployment = text.deployment();
@@ -205,6 +210,9 @@
             close(request);
         }
         request.ended++;
+        m.attempt.outcome = m.outcome;
+        m.attempt.tookNs = now - m.attempt.sentAt;
+        records.ended(m.attempt);
         policy.on(now, new Routing.Ended(request.number, m.attempt.number, m.attempt.boxId, m.outcome, request.over,
                 now - m.attempt.sentAt, m.keptTokens, m.report));
         forget(request);
@@ -253,7 +261,9 @@
 
     private void forget(Request request) {
         if (request.over && request.ended == request.attempts.size()) {
-            requests.remove(request.number);
+            if (requests.remove(request.number) != null && request.sideDone()) {
+                records.answered(request);
+            }
         }
     }
 
@@ -271,26 +281,40 @@
                 health = Health.GONE;
                 known.remove(id);
                 boxes.gone(id);
+                note(id, box.uid(), null, "gone");
             } else {
                 named.add(id);
-                known.add(id);
+                known.put(id, box.uid());
+                note(id, box.uid(), box.endpoint(), health == Health.READY ? "ready" : "draining");
                 boxes.told(id, box, health == Health.READY);
             }
             entries.add(new Routing.Endpoint(id, box.weight(), index(deployment.centres(), box.centre()), box.cell(),
                     clock.at(box.bootMs()), index(deployment.kinds(), box.kind()), health));
         }
         if (news.form == ListForm.FULL || news.form == ListForm.CACHED) {
-            for (long id : List.copyOf(known)) {
+            for (long id : List.copyOf(known.keySet())) {
                 if (!named.contains(id)) {
-                    known.remove(id);
+                    note(id, known.remove(id), null, "gone");
                     boxes.gone(id); // what a full list does not name is gone
                 }
             }
         }
         knowsBoxes = !known.isEmpty();
+        records.list(news.form, news.boxes.size(), known.size());
         policy.on(now, new Routing.ListChange(news.form, entries));
     }
 
+    private void note(long id, String uid, Object endpoint, String state) {
+        if (!records.on()) {
+            return;
+        }
+        boolean isGone = state.equals("gone");
+        String before = isGone ? states.remove(id) : states.put(id, state);
+        if (!state.equals(before) && !(isGone && before == null)) {
+            records.box(uid, endpoint, state, "");
+        }
+    }
+
     private static int index(List<String> names, String name) { return Math.max(0, names.indexOf(name)); }
 
     // ---- What the module asks for -----------------------------------------------------------------
@@ -301,10 +325,10 @@
             Logger.warn("the module sends request {}, which is not open", request);
             return;
         }
-        Attempt attempt = new Attempt(r, r.attempts.size(), replica, now,
+        Attempt attempt = new Attempt(r, r.attempts.size(), replica, known.getOrDefault(replica, "-"), r.choice, now,
                 Math.min(now + Math.max(0, timeoutNs), r.deadlineAt));
         r.attempts.add(attempt);
-        boolean moot = r.answered() || attempt.number >= settings.limits().maxAttempts() || !known.contains(replica);
+        boolean moot = r.answered() || attempt.number >= settings.limits().maxAttempts() || !known.containsKey(replica);
         if (moot || !boxes.send(attempt)) {
             attempt.end();
             own.add(new AttemptOver(attempt, moot ? Outcome.MOOT : Outcome.CONNECT_FAILED, 0, null));
@@ -342,7 +366,7 @@
     @Override public void timer(long afterNs, int token) { wheel.set(new Asked(token), now + afterNs); }
 
     @Override public void probe(long replica) {
-        if (!known.contains(replica) || !boxes.probe(replica)) {
+        if (!known.containsKey(replica) || !boxes.probe(replica)) {
             own.add(new ProbeOver(replica, Outcome.CONNECT_FAILED, 0, null));
         }
     }
@@ -352,4 +376,17 @@
     @Override public void fetchList() { fetch.run(); }
 
     @Override public void log(String line) { Logger.info(line); }
+
+    @Override public void chosen(long request, Routing.Choice why) {
+        Request r = requests.get(request);
+        if (r != null) {
+            r.choice = why;
+        }
+    }
+
+    @Override public void leftOut(long replica, boolean out) {
+        if (records.on()) {
+            records.box(known.getOrDefault(replica, "-"), null, out ? "left_out" : "taken_back", out ? "its attempts failed" : "it answers again");
+        }
+    }
 }
--- a/router/src/main/java/streamproxy/routing/Request.java
+++ b/router/src/main/java/streamproxy/routing/Request.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import streamproxy.decision.Routing;
 import streamproxy.protocol.PassedOn;
 import streamproxy.protocol.PromptHeaders;
+import streamproxy.records.Event;
 import streamproxy.timing.TimerWheel;
 
 /** A client's request that this router has taken and owes one final answer. */
@@ -18,6 +20,15 @@
     final Client client;
     final long takenAt;
     final long deadlineAt;
+    /**
+     * How it ended for its client.
+     *
+     * @param firstAt when its first event went out; 0 where none did
+     * @param events  events with text in them
+     * @param retryNs what it was told to wait; negative where nothing
+     */
+    record End(Event.Final how, long firstAt, long at, long events, long bytes, long retryNs) { }
+
     private volatile PassedOn passedOn;
     /** Who answers: an attempt's number, or the router itself. Set once: that keeps it to one answer. */
     private final AtomicInteger answerer = new AtomicInteger(FREE);
@@ -28,6 +39,10 @@
     boolean over;
     TimerWheel.Timer deadline;
     int ended; // attempts whose outcome the module has
+    Routing.Choice choice; // of the next attempt, or of the final answer
+    /** Both the client's side and the module's must be done with it before it is a record. */
+    private final AtomicInteger sides = new AtomicInteger(2);
+    volatile End end; // the client's side alone sets it
 
     public Request(PromptHeaders prompt, int clazz, int tenant, PassedOn passedOn, Client client, long takenAt) {
         this.prompt = prompt;
@@ -39,6 +54,9 @@
         this.deadlineAt = takenAt + prompt.deadlineNs();
     }
 
+    /** One side is done; true for the second. */
+    boolean sideDone() { return sides.decrementAndGet() == 0; }
+
     PassedOn passedOn() { return passedOn; }
 
     /** Nothing is sent for it any more: its body need not be kept. */
--- /dev/null
+++ b/router/src/test/java/streamproxy/stories/RecordsStories.java
@@ -0,0 +1,265 @@
+package streamproxy.stories;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import org.junit.After;
+import org.junit.Test;
+import streamproxy.program.Router;
+import streamproxy.protocol.OperatorFile;
+import streamproxy.protocol.OperatorReader;
+import streamproxy.syslog.reading.Found;
+import streamproxy.syslog.reading.Frames;
+import streamproxy.syslog.reading.Malformed;
+import streamproxy.syslog.reading.StrictParser;
+
+/** Every answer, refusal and drain of a router is one record at its collector. */
+public class RecordsStories {
+    private static final String END = "0\r\n\r\n";
+    private static final ScriptedBox.Script SERVES = e -> e.stream("data: one\n\n", "data: two\n\n", "data: [DONE]\n\n");
+
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final List<Found> found = new CopyOnWriteArrayList<>();
+    private final List<String> malformed = new CopyOnWriteArrayList<>();
+    private Deployment deployment;
+    private Router router;
+
+    @After public void end() throws Exception {
+        for (int i = opened.size() - 1; i >= 0; i--) {
+            opened.get(i).close();
+        }
+        if (router != null) {
+            router.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T keep(T it) {
+        opened.add(it);
+        return it;
+    }
+
+    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (!condition.getAsBoolean()) {
+            assertTrue("not in time: " + what, System.nanoTime() < until);
+            Thread.sleep(5);
+        }
+    }
+
+    /** A strict collector on TCP; its port. */
+    private int collector() throws IOException {
+        ServerSocket server = keep(new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1")));
+        Thread accepts = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    Thread reads = new Thread(() -> read(socket), "collector's connection");
+                    reads.setDaemon(true);
+                    reads.start();
+                }
+            } catch (IOException e) {
+                // the story is over
+            }
+        }, "collector");
+        accepts.setDaemon(true);
+        accepts.start();
+        return server.getLocalPort();
+    }
+
+    private void read(Socket socket) {
+        try (socket) {
+            Frames frames = new Frames(socket.getInputStream());
+            for (byte[] message = frames.next(); message != null; message = frames.next()) {
+                found.add(StrictParser.parse(message));
+            }
+        } catch (Malformed e) {
+            malformed.add(e.getMessage());
+        } catch (IOException e) {
+            // the router has gone
+        }
+    }
+
+    static OperatorFile operator(String text) throws Exception {
+        Path file = Files.createTempFile("operator", ".ini");
+        Files.writeString(file, text);
+        OperatorFile read = OperatorReader.read(file.toString());
+        Files.delete(file);
+        return read;
+    }
+
+    private void routerWith(String more, ScriptedBox... boxes) throws Exception {
+        deployment = keep(new Deployment("127.0.0.1:0", 1024, boxes));
+        router = deployment.start(operator("[connections]\nactive_most = 50\n[syslog]\nhost = router-1\n" + more
+                + "[syslog collector main]\naddress = 127.0.0.1:" + collector() + "\ntransport = tcp\n"));
+        await("ready", () -> !of("phase", f -> f.value("phase", "name").equals("serving")).isEmpty());
+    }
+
+    private List<Found> of(String element, Predicate<Found> which) {
+        return found.stream().filter(f -> f.element(element).isPresent() && which.test(f)).toList();
+    }
+
+    private Found request(String id) throws InterruptedException {
+        await("the record of " + id, () -> !of("request", f -> f.value("request", "id").equals(id)).isEmpty());
+        List<Found> records = of("request", f -> f.value("request", "id").equals(id));
+        assertEquals(id, 1, records.size());
+        return records.get(0);
+    }
+
+    @Test public void everyRequestOfALoadHasJustOneRecord() throws Exception {
+        ScriptedBox box = keep(new ScriptedBox(SERVES));
+        routerWith("", box);
+        List<Thread> clients = new ArrayList<>();
+        Map<String, String> told = new java.util.concurrent.ConcurrentHashMap<>();
+        for (int c = 0; c < 10; c++) {
+            int number = c;
+            Thread client = new Thread(() -> {
+                try (Caller caller = new Caller(router.address())) {
+                    for (int i = 0; i < 50; i++) {
+                        String id = "c" + number + "-" + i;
+                        told.put(id, caller.send(Caller.prompt(id, "{}")).readTo(END).substring(9, 12));
+                    }
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            client.start();
+            clients.add(client);
+        }
+        for (Thread client : clients) {
+            client.join();
+        }
+        assertEquals(500, told.size());
+        await("all have come", () -> of("request", f -> true).size() >= 500);
+        Map<String, Integer> records = new TreeMap<>();
+        of("request", f -> true).forEach(f -> records.merge(f.value("request", "id"), 1, Integer::sum));
+        assertEquals(told.keySet(), records.keySet());
+        assertTrue("one each", records.values().stream().allMatch(n -> n == 1));
+        assertEquals(List.of(), malformed);
+        Found one = request("c3-7");
+        assertEquals("served", one.value("request", "end"));
+        assertEquals("chat", one.value("request", "class"));
+        assertEquals("7f3a9c21e0b4d655", one.value("request", "key"));
+        assertEquals("s-0", one.value("request", "box"));
+        assertEquals("2", one.value("request", "tokens"));
+        assertEquals("router-1", one.host());
+        assertTrue(one.value("request", "tried"), one.value("request", "tried").matches("0 s-0 ok (list|drawn|keeper|cold_turn) \\d+\\.\\d{3}"));
+        double first = Double.parseDouble(one.value("request", "first_ms"));
+        assertTrue(first <= Double.parseDouble(one.value("request", "whole_ms")) && first > 0);
+    }
+
+    @Test public void whatGoesWrongIsToldWithItsAttempts() throws Exception {
+        ScriptedBox box = keep(new ScriptedBox(e -> {
+            if (e.head().contains("Req-Id: broken")) {
+                e.streamHead();
+                e.chunk("data: one\n\n");
+                e.socket().close();
+            } else if (e.head().contains("Req-Id: left")) {
+                e.awaitClose();
+            } else {
+                e.answer("503 Busy", "Srv-Declined: 1\r\n", "");
+            }
+        }));
+        routerWith("", box);
+        try (Caller caller = new Caller(router.address())) {
+            caller.send(Caller.prompt("broken", "{}")).readAll();
+        }
+        assertEquals("broken", request("broken").value("request", "end"));
+        assertEquals("failure", request("broken").messageId());
+        try (Caller caller = new Caller(router.address())) {
+            caller.send(Caller.prompt("left", "{}"));
+            await("the box has it", () -> box.attempts.stream().anyMatch(e -> e.head().contains("Req-Id: left")));
+        }
+        assertEquals("left", request("left").value("request", "end"));
+        assertTrue(request("left").value("request", "tried"), request("left").value("request", "tried").startsWith("0 s-0 cancelled "));
+        try (Caller caller = new Caller(router.address())) {
+            assertTrue(caller.send(Caller.prompt("full", "{}")).readTo("\r\n").startsWith("HTTP/1.1 503 "));
+        }
+        Found refused = request("full");
+        assertEquals("refusal", refused.messageId());
+        assertEquals("refused", refused.value("request", "end"));
+        assertEquals("spent", refused.value("request", "decision"));
+        assertTrue(refused.values("request", "tried").size() >= 1);
+        assertTrue(Double.parseDouble(refused.value("request", "retry_ms")) > 0);
+        await("each attempt has a record, too", () -> of("attempt", f -> f.value("attempt", "outcome").equals("full")).size()
+                == refused.values("request", "tried").size());
+    }
+
+    @Test public void drainsReloadsAndThePhasesAreToldAndNothingIsLostAtTheEnd() throws Exception {
+        ScriptedBox box = keep(new ScriptedBox(SERVES));
+        ScriptedBox other = keep(new ScriptedBox(SERVES));
+        routerWith("", box, other);
+        await("both are ready", () -> of("box", f -> f.value("box", "state").equals("ready")).size() == 2);
+        deployment.news.add(Deployment.told(2, false, Deployment.entry("s-1", other.address(), "draining")));
+        await("it drains", () -> !of("box", f -> f.value("box", "id").equals("s-1") && f.value("box", "state").equals("draining")).isEmpty());
+        router.reload(new Router.Reload() {
+            @Override public java.net.InetSocketAddress discovery() throws streamproxy.protocol.NodeConfig.Unusable {
+                throw new streamproxy.protocol.NodeConfig.Unusable("line 7: no good");
+            }
+
+            @Override public OperatorFile operator() { return OperatorFile.NONE; }
+        });
+        await("the reload is told", () -> !of("reload", f -> f.value("reload", "result").equals("refused")
+                && f.value("reload", "why").equals("line 7: no good")).isEmpty());
+        try (Caller caller = new Caller(router.address())) {
+            caller.send(Caller.prompt("last", "{}")).readTo(END);
+        }
+        router.leave();
+        await("the last phase", () -> !of("phase", f -> f.value("phase", "name").equals("stopped")).isEmpty());
+        assertEquals("s-0", request("last").value("request", "box"));
+        assertEquals(router.records().made(), router.records().sent());
+        assertEquals(List.of(), malformed);
+    }
+
+    /** The platform names no operator's file: there nothing of all this may run. */
+    @Test public void withoutAnOperatorNothingIsRecorded() throws Exception {
+        deployment = keep(new Deployment("127.0.0.1:0", 1024, keep(new ScriptedBox(SERVES))));
+        router = deployment.start();
+        assertNull(router.records());
+        assertTrue(Thread.getAllStackTraces().keySet().stream().noneMatch(t -> t.getName().startsWith("syslog ") && t.isAlive()
+                && !t.isDaemon()));
+    }
+
+    @Test public void asJsonLinesTheyStandOnStandardError() throws Exception {
+        ScriptedBox box = keep(new ScriptedBox(SERVES));
+        Path file = Files.createTempFile("operator", ".ini");
+        Files.writeString(file, "[syslog]\njson = yes\n");
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        Deployment here = keep(new Deployment("127.0.0.1:" + port, 1024, box));
+        Process program = ProgramStories.start(here.environment, List.of(), "serve", "--operator", file.toString());
+        try {
+            java.net.InetSocketAddress at = new java.net.InetSocketAddress("127.0.0.1", port);
+            ProgramStories.awaitReady(at, program);
+            try (Caller caller = new Caller(at)) {
+                caller.send(Caller.prompt("a1", "{}")).readTo(END);
+            }
+            program.toHandle().destroy(); // the process's own way would close the stream that is read next
+            String said = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+            List<String> lines = said.lines().filter(line -> line.contains("\"kind\":\"answer\"")).toList();
+            assertEquals(said, 1, lines.size());
+            assertTrue(lines.get(0), lines.get(0).startsWith("{\"time\":\"") && lines.get(0).contains("\"id\":\"a1\",\"end\":\"served\""));
+            assertEquals(0, program.waitFor());
+        } finally {
+            program.destroyForcibly();
+            Files.delete(file);
+        }
+    }
+}
