Hold slow readers by bytes, tell stalls by a stream's pace, and bound what is sent again

A slow client held 64 events of any size and a thread at its box. Now what waits is bounded in bytes, for each and for all, the box is not read meanwhile and no thread waits there; a reader that stands still for lag_s is ended and its box free at once. Where an operator wants it, a gap is a stall by the stream's own gaps, streams of one box that stall together are one fault of it, and a budget bounds what is sent again over all requests. A log collector on a port that was given up could have been ourselves (TCP opened from both ends): refused now.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -2,6 +2,7 @@
 
 import java.util.*;
 import streamproxy.decision.Routing.*;
+import streamproxy.streams.RetryBudget;
 
 /**
  * Every routing decision of one gateway. The interface (settings, events, actions) is Routing.java.
@@ -57,6 +58,7 @@
     private static final double COLD_IN_TIME = 0.7; // the share of its time in which a prompt must be begun
 
     private final Settings set;
+    private final RetryBudget retries;
     private final Actions out;
     private final SplittableRandom random;
 
@@ -108,6 +110,7 @@
         boolean done;
         boolean begun;
         int token;
+        int paid = 1;                // attempts that the budget has granted, the first is free
         long wakeAt = Long.MAX_VALUE;
         long probesUntil = -1;       // held for its probes until then
         final List<Rep> drawn = new ArrayList<>(3); // the candidates, nearest first
@@ -157,6 +160,12 @@
     private long askBackoff;
 
     public Policy(Settings settings, long seed, long now, Actions actions) {
+        this(settings, seed, now, actions, null);
+    }
+
+    /** @param retries what may be sent again for all requests together; null where that is not bounded */
+    public Policy(Settings settings, long seed, long now, Actions actions, RetryBudget retries) {
+        this.retries = retries;
         set = settings;
         out = actions;
         random = new SplittableRandom(seed);
@@ -422,6 +431,9 @@
         meanPrompt += (in.promptTokens() - meanPrompt) * Math.max(0.02, 1 / ++seen);
         double passed = (now - arrivalsAt) / (double) SECOND;
         arrivals = arrivals * Math.exp(-passed / 8) + 1 / 8.0;
+        if (retries != null) {
+            retries.request(now);
+        }
         arrivalsAt = now;
         probeBudget = Math.min(PROBES_SAVED, probeBudget + PROBES_PER_REQUEST);
         for (int i = 0; i < classWork.length; i++) {
@@ -466,7 +478,8 @@
             return;
         }
         if (!q.out()) {
-            if (q.attempts.size() >= set.limits().maxAttempts() || !mayRepeat(now, q, null)) {
+            if (q.attempts.size() >= set.limits().maxAttempts() || !mayRepeat(now, q, null)
+                    || !paid(now, q)) {
                 answer(q, Choice.SPENT);
                 return;
             }
@@ -776,6 +789,12 @@
         return true;
     }
 
+    private boolean paid(long now, Req q) {
+        boolean may = retries == null || q.paid > q.attempts.size() || retries.trySpend(now);
+        q.paid = may ? q.attempts.size() + 1 : q.paid;
+        return may;
+    }
+
     private boolean mayRefuse(Req q) {
         Effect effect = q.clazz.effect();
         return effect == Effect.SAFE || effect == Effect.KEYED && q.clazz.group() == Group.ALL
--- a/decision/src/test/java/streamproxy/decision/PolicyTest.java
+++ b/decision/src/test/java/streamproxy/decision/PolicyTest.java
@@ -23,6 +23,7 @@
 import streamproxy.decision.Routing.Outcome;
 import streamproxy.decision.Routing.Reports;
 import org.junit.jupiter.api.Test;
+import streamproxy.streams.RetryBudget;
 
 class PolicyTest {
     private static Routing.Settings pull(Routing.RequestClass c) { return settings(0, 1, Reports.PULL, false, c); }
@@ -496,4 +497,34 @@
         String refused = rig.actions.stream().filter(a -> a.startsWith("refuse")).findFirst().orElseThrow();
         assertEquals(List.of(), rig.sends(Long.parseLong(refused.split(" ")[1])), "and was shed unsent");
     }
+
+    // ---- a budget for sending again
+
+    /** With half of the fleet down each request would else be sent three times over. */
+    @Test void whatMayBeSentAgainIsAShareOfTheRequests() {
+        Rig rig = new Rig(pull(safe()), 7, new RetryBudget(0.1, 0, 2, 0));
+        rig.list(ListForm.FULL, ready(1), ready(2), ready(3));
+        int sends = 0;
+        for (int i = 0; i < 100; i++) {
+            rig.report(1, 0).report(2, 0).report(3, 0).arrive(100 + i, 0, 1000, 0);
+            for (int attempt = 0; attempt < rig.sends(100 + i).size(); attempt++) {
+                rig.ended(100 + i, attempt, Outcome.FULL, false);
+                rig.report(1, 0).report(2, 0).report(3, 0);
+            }
+            sends += rig.sends(100 + i).size();
+        }
+        assertTrue(sends >= 105 && sends <= 112, "sends " + sends);
+    }
+
+    @Test void anAttemptThatWaitsIsPaidForOnce() {
+        RetryBudget budget = new RetryBudget(0, 0, 5, 0);
+        Rig rig = new Rig(pull(safe()), 7, budget);
+        rig.list(ListForm.FULL, ready(1)).report(1, 0).arrive(10, 0, 1000, 0);
+        rig.ended(10, 0, Outcome.FULL, false); // the only one is full: what follows waits, and is looked at again and again
+        for (int i = 0; i < 20; i++) {
+            rig.now += 20 * MS;
+            rig.list(ListForm.FULL, ready(1));
+        }
+        assertTrue(budget.spent() <= 1 + Math.max(0, rig.sends(10).size() - 1), "spent " + budget.spent());
+    }
 }
--- a/decision/src/test/java/streamproxy/decision/Rig.java
+++ b/decision/src/test/java/streamproxy/decision/Rig.java
@@ -1,5 +1,6 @@
 package streamproxy.decision;
 
+import streamproxy.streams.RetryBudget;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -17,9 +18,11 @@
 
     Rig(Routing.Settings settings) { this(settings, 7); }
 
-    Rig(Routing.Settings settings, long seed) {
+    Rig(Routing.Settings settings, long seed) { this(settings, seed, null); }
+
+    Rig(Routing.Settings settings, long seed, RetryBudget retries) {
         now = 1_000 * S;
-        policy = new Policy(settings, seed, now, this);
+        policy = new Policy(settings, seed, now, this, retries);
     }
 
     /** Settings of one class; the rest is plain. */
--- a/lab/src/main/java/streamproxy/lab/ReconnectCommand.java
+++ b/lab/src/main/java/streamproxy/lab/ReconnectCommand.java
@@ -36,11 +36,13 @@
         for (int count : clients) {
             for (int pace : paces) {
                 measure(count, pace, results);
+                if (setup.out != null) {
+                    results.csv(setup.out, "reconnect"); // what is measured by then is kept, whatever comes
+                }
             }
         }
         System.out.println(results.text(setup.json));
         if (setup.out != null) {
-            results.csv(setup.out, "reconnect");
             draw(results, "all_back_s", "Until all were answered again", "seconds");
             draw(results, "busy_p95_ms", "The busy clients' 95th percentile meanwhile", "ms");
         }
--- a/records/src/main/java/streamproxy/syslog/Channel.java
+++ b/records/src/main/java/streamproxy/syslog/Channel.java
@@ -97,6 +97,9 @@
                     throw new IOException("no address for " + to.host());
                 }
                 plain.connect(at, CONNECT_MS);
+                if (plain.getLocalSocketAddress().equals(plain.getRemoteSocketAddress())) {
+                    throw new IOException("nobody listens there"); // TCP opened from both ends: we would talk to ourselves
+                }
                 plain.setTcpNoDelay(true);
                 socket = to.transport() == Collector.Transport.TLS ? secured(to) : plain;
                 out = new BufferedOutputStream(socket.getOutputStream(), BUFFER);
--- a/records/src/test/java/streamproxy/syslog/StandInCollector.java
+++ b/records/src/test/java/streamproxy/syslog/StandInCollector.java
@@ -23,6 +23,8 @@
 
 /** A collector on loopback that reads strictly, and does what a story needs. */
 final class StandInCollector implements AutoCloseable {
+    /** No connection begins at this address by itself, so that a port that was given up can be taken again. */
+    static final String HOST = "127.0.0.2";
     final BlockingQueue<Found> found = new LinkedBlockingQueue<>();
     final List<String> malformed = new CopyOnWriteArrayList<>();
     final AtomicInteger connections = new AtomicInteger();
@@ -37,7 +39,7 @@
     StandInCollector(int port, SSLContext context, boolean wantsClient) throws IOException {
         server = context == null ? new ServerSocket() : context.getServerSocketFactory().createServerSocket();
         server.setReuseAddress(true);
-        server.bind(new java.net.InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 50);
+        server.bind(new java.net.InetSocketAddress(InetAddress.getByName(HOST), port), 50);
         if (wantsClient) {
             ((javax.net.ssl.SSLServerSocket) server).setNeedClientAuth(true);
         }
@@ -48,7 +50,7 @@
     /** On UDP. */
     StandInCollector() throws IOException {
         server = null;
-        datagrams = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+        datagrams = new DatagramSocket(0, InetAddress.getByName(HOST));
         thread(this::receive);
     }
 
--- a/records/src/test/java/streamproxy/syslog/SyslogStories.java
+++ b/records/src/test/java/streamproxy/syslog/SyslogStories.java
@@ -47,7 +47,7 @@
     }
 
     private static Collector collector(String name, int port, Collector.Transport transport, Framing framing, Collector.Tls tls) {
-        return new Collector(name, "127.0.0.1", port, transport, framing, 8_192, tls);
+        return new Collector(name, StandInCollector.HOST, port, transport, framing, 8_192, tls);
     }
 
     private static Collector tcp(int port) { return collector("main", port, Collector.Transport.TCP, Framing.OCTETS, null); }
@@ -331,7 +331,7 @@
     }
 
     @Test public void overTlsBothSidesShowWhoTheyAre() throws Exception {
-        Identity server = new Identity("collector", "ip:127.0.0.1");
+        Identity server = new Identity("collector", "ip:127.0.0.2");
         Identity client = new Identity("router", "dns:router-1");
         StandInCollector at = keep(new StandInCollector(0, server.asServer(client), true));
         Syslog syslog = syslog(List.of(tls(at.port(), server.trusted(client))), true, 1_000, null);
@@ -341,10 +341,10 @@
     }
 
     @Test public void acollectorThatIsNotWhoItShouldBeGetsNothing() throws Exception {
-        Identity server = new Identity("collector", "ip:127.0.0.1");
-        Identity stranger = new Identity("stranger", "ip:127.0.0.1");
+        Identity server = new Identity("collector", "ip:127.0.0.2");
+        Identity stranger = new Identity("stranger", "ip:127.0.0.2");
         Identity elsewhere = new Identity("elsewhere", "dns:logs.example.com");
-        Identity old = new Identity("old", "ip:127.0.0.1", "-startdate", "2020/01/01", "-validity", "30"); // trusted itself, and over
+        Identity old = new Identity("old", "ip:127.0.0.2", "-startdate", "2020/01/01", "-validity", "30"); // trusted itself, and over
         StandInCollector wrong = keep(new StandInCollector(0, stranger.asServer(null), false));
         StandInCollector misnamed = keep(new StandInCollector(0, elsewhere.asServer(null), false));
         StandInCollector expired = keep(new StandInCollector(0, old.asServer(null), false));
@@ -360,7 +360,7 @@
     }
 
     @Test public void keysAreExchangedUnderLoadAndNoRecordIsLost() throws Exception {
-        Identity server = new Identity("collector", "ip:127.0.0.1");
+        Identity server = new Identity("collector", "ip:127.0.0.2");
         Identity before = new Identity("before", "dns:router-1");
         Identity after = new Identity("after", "dns:router-1");
         Path store = folder.newFile("own.p12").toPath();
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -32,6 +32,8 @@
     private static final long GRACE_MS = 700;
     /** Share of the heap that the bodies of requests in work may hold. */
     private static final double BODIES_SHARE = 0.35;
+    /** Share of the heap that may be held for clients that are slow to read, where the operator sets none. */
+    private static final double HELD_SHARE = 0.1;
 
     private final Lifecycle lifecycle;
     private final Recording recording;
@@ -43,6 +45,8 @@
     private final BoxEntry.News known;
     private final Listener listener;
     private final NodeConfig config;
+    private final int heldMost;
+    private final Budget heldBytes;
     private volatile ConnectionLimits limits;
 
     /** A router that no operator has told anything. */
@@ -61,17 +65,20 @@
         Budget bodyBytes = new Budget((int) Math.min(Integer.MAX_VALUE, BODIES_SHARE * heap()));
         quiet = new QuietConnections();
         this.limits = limits;
+        heldMost = held(operator);
+        heldBytes = new Budget(heldMost);
         ModelBoxes boxes = new ModelBoxes(new ModelBoxes.Desk(text.deployment(), text.reportLayout(), boxPlaces, clock, quiet,
                 () -> this.limits));
-        module = new ModuleActor(text, config.seed(), clock, boxes, recording.records());
+        module = new ModuleActor(text, config.seed(), clock, boxes, recording.records(), operator.retries(clock.now()),
+                operator.stalls());
         boxes.reportTo(module);
         list = new BoxList(config.discovery(), new Budget(LIST_CALLS), module);
         Routing.Limits may = settings.limits();
         clients = new ClientConnections(new ClientConnections.Desk(module, clock,
                 settings.classes().stream().map(c -> c.name()).toList(), text.deployment().tenants(), bodyBytes,
                 new TakenIds(), quiet, timers, () -> lifecycle.ready() && module.knowsBoxes(), lifecycle::leaving,
-                new ComeBack(config.seed()), may.retryAfter() ? may.maxRetryAfterNs() : 0, recording.records()),
-                limits);
+                new ComeBack(config.seed()), may.retryAfter() ? may.maxRetryAfterNs() : 0, recording.records(),
+                text.deployment().silenceNs().stream().map(operator::stream).toList(), heldBytes), limits);
         listener = new Listener(config.listen(), clients);
     }
 
@@ -85,6 +92,11 @@
         }
     }
 
+    private static int held(OperatorFile operator) {
+        double bytes = operator.get(OperatorFile.Key.HOLD_ALL_MB) * (1 << 20);
+        return (int) Math.min(Integer.MAX_VALUE, bytes > 0 ? bytes : HELD_SHARE * heap());
+    }
+
     private static long heap() { return Runtime.getRuntime().maxMemory(); }
 
     public void start() {
@@ -128,6 +140,9 @@
         });
     }
 
+    /** Bytes that wait for clients that are slow to read. */
+    public int held() { return heldMost - heldBytes.left(); }
+
     /** What became of the records so far; null where none are sent. */
     public Syslog.Counts records() { return recording.counts(); }
 
--- a/router/src/main/java/streamproxy/protocol/OperatorFile.java
+++ b/router/src/main/java/streamproxy/protocol/OperatorFile.java
@@ -8,6 +8,9 @@
 import java.util.Set;
 import streamproxy.limits.ConnectionLimits;
 import streamproxy.protocol.NodeConfig.Unusable;
+import streamproxy.streams.RetryBudget;
+import streamproxy.streams.StreamLimits;
+import streamproxy.streams.Together;
 
 /**
  * What the operator of an installation sets beyond what the platform tells: a file of sections and keys (INI).
@@ -32,7 +35,23 @@
         /** Connections to one model box. */
         CONNECTIONS_MOST("boxes", 1, 100_000, 0, true),
         /** Connections that are being opened to one model box at a time. */
-        CONNECTING_MOST("boxes", 1, 10_000, 0, true);
+        CONNECTING_MOST("boxes", 1, 10_000, 0, true),
+        /** KiB of an answer that may wait for its client. */
+        HOLD_KB("streams", 1, 16_384, 64, true),
+        /** MiB that may wait for all clients together. */
+        HOLD_ALL_MB("streams", 1, 65_536, 0, true),
+        /** Seconds for which a client may leave that waiting. */
+        LAG_S("streams", 0.1, 3_600, 5, false),
+        /** A gap so many times as long as nearly all before it is a stall; 0 where only the settings' limit is. */
+        STALL_FACTOR("streams", 2, 1_000, 0, false),
+        /** Seconds that are no stall, however quick the stream was. */
+        STALL_LEAST_S("streams", 0.05, 600, 1, false),
+        /** Resends for each request, over all; 0 for any number. */
+        SHARE("retries", 0.001, 10, 0, false),
+        /** Resends a second beside that. */
+        PER_S("retries", 0, 10_000, 1, false),
+        /** Resends that may be saved up. */
+        SAVED_MOST("retries", 1, 100_000, 20, true);
 
         private final String section;
         private final double least;
@@ -70,6 +89,10 @@
         }
     }
 
+    /** Streams that stall within so long, so large a share of the box's and so many at least, stall together. */
+    private static final long STALL_WINDOW = 2_000_000_000L;
+    private static final double STALL_SHARE = 0.5;
+    private static final int STALL_STREAMS = 3;
     private static final String COLLECTOR = "syslog collector ";
     private static final Set<String> SYSLOG = Set.of("json", "to", "facility", "host", "app", "enterprise", "clock_synced", "queue",
             "fail_back_s", "drain_s", "report_s", "stalled_s", "spool", "spool_mb");
@@ -151,6 +174,27 @@
     /** What is set, or what holds else. */
     public double get(Key key) { return set.getOrDefault(key, key.otherwise); }
 
+    /**
+     * What the file wishes for a stream.
+     *
+     * @param longestGapNs the longest gap between events that the deployment's settings allow
+     */
+    public StreamLimits stream(long longestGapNs) {
+        double factor = get(Key.STALL_FACTOR);
+        return new StreamLimits((int) get(Key.HOLD_KB) * 1024, (long) (get(Key.LAG_S) * 1e9), longestGapNs,
+                Math.min(longestGapNs, (long) (get(Key.STALL_LEAST_S) * 1e9)), factor > 0 ? factor : Double.POSITIVE_INFINITY);
+    }
+
+    /** What may be sent again; null where the file does not bound it. */
+    public RetryBudget retries(long now) {
+        return get(Key.SHARE) > 0 ? new RetryBudget(get(Key.SHARE), get(Key.PER_S), get(Key.SAVED_MOST), now) : null;
+    }
+
+    /** What tells streams of a box that stall together; null where no stall is looked for but by the settings' limit. */
+    public Together stalls() {
+        return get(Key.STALL_FACTOR) > 0 ? new Together(STALL_WINDOW, STALL_SHARE, STALL_STREAMS) : null;
+    }
+
     /** What the file wishes for connections. */
     public ConnectionLimits.Wishes connections() {
         return new ConnectionLimits.Wishes((int) get(Key.CLIENTS_MOST), (int) get(Key.ACTIVE_MOST),
--- a/router/src/main/java/streamproxy/routing/Attempt.java
+++ b/router/src/main/java/streamproxy/routing/Attempt.java
@@ -17,9 +17,10 @@
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.OUT);
     final String box; // its uid
     final Routing.Choice choice;
-    TimerWheel.Timer timeOut; // the module's actor alone touches it, and the next two
+    TimerWheel.Timer timeOut; // the module's actor alone touches it, and the next three
     Routing.Outcome outcome;
     long tookNs = -1;
+    boolean began; // counted among its box's streams
     volatile long writtenAt; // 0 until its bytes have gone out
     volatile long keptTokens = -1;
     private volatile Connection connection;
--- a/router/src/main/java/streamproxy/routing/BoxConnection.java
+++ b/router/src/main/java/streamproxy/routing/BoxConnection.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.tinylog.Logger;
 import streamproxy.protocol.BadMessage;
 import streamproxy.protocol.EventStream;
@@ -37,6 +38,9 @@
     private static final long BEYOND = 1_000_000_000L;
     private static final double SECOND = 1e9;
 
+    /** What to do with the connection: keep it for the next errand, close it, or nothing as its errand is not over. */
+    private enum Then { KEEP, CLOSE, PAUSE }
+
     private final ModelBox box;
     private final Connection connection;
     private final InetSocketAddress to;
@@ -103,15 +107,24 @@
     boolean quiet() { return connection.look() == Connection.Look.QUIET; }
 
     private void carryOut(Errand errand) {
-        boolean keep = false;
         answered = false;
         reader = new HttpReader(connection);
         writer = new HttpWriter(connection);
         idleNs = connected ? box.clock.now() - idleSince : 0;
+        finish(() -> errand.attempt == null ? probe(errand.probeAt) ? Then.KEEP : Then.CLOSE : carry(errand.attempt));
+    }
+
+    /** Does a part of an errand, and with the connection what then is to be done. */
+    private void finish(Supplier<Then> part) {
+        Then then = Then.CLOSE;
         try {
-            keep = errand.attempt == null ? probe(errand.probeAt) : carry(errand.attempt);
+            then = part.get();
         } finally {
-            if (keep && !connection.isClosed()) {
+            if (then == Then.PAUSE) {
+                // Its client has enough to read: it goes on, perhaps already, on a thread of its own.
+                return;
+            }
+            if (then == Then.KEEP && !connection.isClosed()) {
                 if (idleNs > 0) {
                     box.keptWell();
                 }
@@ -141,7 +154,7 @@
     // ---- Attempts ---------------------------------------------------------------------------------
 
     /** Carries one attempt to its end; true where the connection can be used again. */
-    private boolean carry(Attempt attempt) {
+    private Then carry(Attempt attempt) {
         attempt.carriedBy(connection);
         boolean written = false;
         boolean bound = false;
@@ -151,7 +164,7 @@
             // It may have waited for its turn: what was called off, or told draining or gone since, is not sent.
             if (attempt.isOver() || request == null || !box.ready()) {
                 box.module.over(attempt, Outcome.MOOT, 0, null);
-                return !connection.isClosed();
+                return Then.KEEP;
             }
             long left = Math.max(1, attempt.endsAt - box.clock.now());
             writer.passOn(request, to.getHostString() + ":" + to.getPort(), left / SECOND);
@@ -162,23 +175,23 @@
             LoadReport report = report(head.get("Srv-Load"));
             if (head.status() != 200 || !head.chunked()) {
                 box.module.over(attempt, outcome(head), 0, report);
-                return wholeAfter(head);
+                return wholeAfter(head) ? Then.KEEP : Then.CLOSE;
             }
             EventStream events = new EventStream(reader);
             byte[] event = events.next(FIRST_EVENT);
             if (event == null) {
                 box.module.over(attempt, Outcome.ERROR, 0, report);
-                return reusable(head);
+                return reusable(head) ? Then.KEEP : Then.CLOSE;
             }
             if (!attempt.bind()) {
                 box.module.over(attempt, Outcome.CANCELLED, 0, report);
-                return false;
+                return Then.CLOSE;
             }
             bound = true;
-            return pass(attempt, event, events, report) && reusable(head);
+            return new Passing(attempt, head, events, report).begin(event);
         } catch (IOException | RuntimeException e) {
             broke(attempt, e, written, bound);
-            return false;
+            return Then.CLOSE;
         }
     }
 
@@ -203,29 +216,76 @@
     /** Bytes that belong to no answer of ours would be read as the next one's. */
     private boolean reusable(HttpHead head) { return !head.closes() && !connection.holdsMore(); }
 
-    /** The client gets this stream: passes each event on as it comes, up to the end. */
-    private boolean pass(Attempt attempt, byte[] first, EventStream events, LoadReport report) throws IOException {
-        Client client = attempt.request.client;
-        boolean there = client.event(first);
-        box.module.began(attempt);
-        double kept = 0;
-        LoadReport last = report;
-        // A box that vanishes says nothing: without a limit its client would hang for as long as the box is away.
-        long silence = box.deployment.silenceNs().get(attempt.request.clazz);
-        for (byte[] event = events.next(silence); there && event != null; event = events.next(silence)) {
-            kept = Math.max(kept, EventStream.keptTokens(event));
-            LoadReport said = event[0] == ':' ? comment(event) : null;
-            last = said != null ? said : last;
-            there = client.event(event);
+    /**
+     * A stream on its way to the client that gets it: each event is passed on as it comes, up to the end. While the
+     * client has enough to read there is no thread here, and the box is not read.
+     */
+    private final class Passing {
+        private final Attempt attempt;
+        private final HttpHead head;
+        private final EventStream events;
+        private LoadReport last;
+        private double kept;
+
+        Passing(Attempt attempt, HttpHead head, EventStream events, LoadReport report) {
+            this.attempt = attempt;
+            this.head = head;
+            this.events = events;
+            last = report;
+        }
+
+        Then begin(byte[] first) throws IOException {
+            box.module.began(attempt); // before the event: what comes after it may come from another thread
+            Client.Room room = attempt.request.client.event(first, this::resume);
+            return room == Client.Room.MORE ? pass() : stop(room);
+        }
+
+        private Then pass() throws IOException {
+            Client client = attempt.request.client;
+            // A box that vanishes says nothing: without a limit its client would hang for as long as the box is away.
+            for (byte[] event = events.next(client.silenceNs()); event != null; event = events.next(client.silenceNs())) {
+                kept = Math.max(kept, EventStream.keptTokens(event));
+                LoadReport said = event[0] == ':' ? comment(event) : null;
+                last = said != null ? said : last;
+                Client.Room room = client.event(event, this::resume);
+                if (room != Client.Room.MORE) {
+                    return stop(room);
+                }
+            }
+            attempt.keptTokens = (long) kept;
+            client.ended();
+            box.module.over(attempt, Outcome.OK, kept, last);
+            return reusable(head) ? Then.KEEP : Then.CLOSE;
         }
-        if (!there) {
+
+        private Then stop(Client.Room room) {
+            if (room == Client.Room.FULL) {
+                return Then.PAUSE;
+            }
             box.module.left(attempt.request);
-            return false;
+            return Then.CLOSE;
+        }
+
+        /** There is room again, or the client has gone and the next event shows it. */
+        private void resume() {
+            try {
+                Threads.start("to " + to, () -> finish(this::goOn));
+            } catch (OutOfMemoryError e) {
+                Logger.warn(e, "no thread to go on with a stream");
+                attempt.request.client.broken();
+                box.module.over(attempt, Outcome.RESET, 0, null);
+                close();
+            }
+        }
+
+        private Then goOn() {
+            try {
+                return pass();
+            } catch (IOException | RuntimeException e) {
+                broke(attempt, e, true, true);
+                return Then.CLOSE;
+            }
         }
-        attempt.keptTokens = (long) kept;
-        client.ended();
-        box.module.over(attempt, Outcome.OK, kept, last);
-        return true;
     }
 
     private void broke(Attempt attempt, Exception e, boolean written, boolean bound) {
@@ -238,6 +298,10 @@
         noteEnd(e);
         if (bound) {
             attempt.request.client.broken();
+            if (e instanceof SocketTimeoutException) {
+                box.module.stalled(attempt);
+                return;
+            }
         }
         box.module.over(attempt, written ? Outcome.RESET : Outcome.CONNECT_FAILED, 0, null);
     }
--- a/router/src/main/java/streamproxy/routing/Client.java
+++ b/router/src/main/java/streamproxy/routing/Client.java
@@ -2,14 +2,30 @@
 
 /** Who waits for the answer to one request; each protocol spoken with clients has its own. */
 public interface Client {
+    /** What an event has found. */
+    enum Room {
+        /** It was taken, and there is room for more. */
+        MORE,
+        /** It was taken, and no more may come until there is room again. */
+        FULL,
+        /** The client has left or does not read. */
+        GONE
+    }
+
     /** Final answer: turned away. Does not wait. */
     void refused(long retryAfterNs);
 
     /** Final answer: failed. Does not wait. */
     void failed();
 
-    /** Passes an event on, waiting while the client is slow; false where it has left or does not read. */
-    boolean event(byte[] event);
+    /**
+     * Passes an event on, without waiting. Where that leaves no room, {@code whenRoom} is run once: when there is room
+     * again, or when the client has gone; on a thread that must not be kept.
+     */
+    Room event(byte[] event, Runnable whenRoom);
+
+    /** How long the next event may take before the stream counts as silent, in nanoseconds. */
+    long silenceNs();
 
     /** The stream is whole. */
     void ended();
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -1,9 +1,6 @@
 package streamproxy.routing;
 
 import java.io.IOException;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import streamproxy.protocol.BadMessage;
 import streamproxy.protocol.EventStream;
@@ -22,15 +19,12 @@
  * hands it to the module's actor, and then takes the answer from its mailbox and writes it, looking meanwhile whether
  * the client is still there. Requests right behind it on the same connection are served by the same.
  */
-final class Exchange implements Client {
-    private enum Kind { EVENT, ENDED, BROKEN, REFUSED, FAILED }
-
-    private record Letter(Kind kind, byte[] event, long retryAfterNs) { }
-
+final class Exchange {
     /** Closes the connection of a client that does not read its answer; else it would hold its thread for ever. */
     private final class Stall extends TimerWheel.Timer {
         @Override protected void due(long now) {
-            if (connection.stalled(STALLED)) {
+            HeldAnswer held = answer;
+            if (connection.stalled(held == null ? STALLED : 2 * held.lagNs()) || held != null && held.isTooSlow()) {
                 connection.close();
             } else {
                 desk.timers().set(this, STALL_LOOK);
@@ -52,11 +46,8 @@
     private static final long MS = 1_000_000L;
     /** How often the client's side is looked at while its request waits. */
     private static final long LOOK = 100 * MS;
-    /** Events that wait for a slow client, and how long they may. */
-    private static final int MAILBOX = 64;
-    private static final long SLOWEST = 5_000 * MS;
-    /** How long a write may be kept waiting, and how often that is looked at. */
-    private static final long STALLED = 2 * SLOWEST;
+    /** How long a write may be kept waiting that is no part of a stream, and how often that is looked at. */
+    private static final long STALLED = 10_000 * MS;
     private static final long STALL_LOOK = 1_000 * MS;
 
     private final ClientConnection at;
@@ -64,10 +55,9 @@
     private final ClientConnections.Desk desk;
     private final HttpReader reader;
     private final HttpWriter writer;
-    private final BlockingQueue<Letter> mailbox = new ArrayBlockingQueue<>(MAILBOX);
     private final Stall stall = new Stall();
     private final Whole whole = new Whole();
-    private volatile boolean gone;
+    private volatile HeldAnswer answer; // of the request that is served; null before
     // Of the answer that is being given; this thread alone touches them.
     private Event.Final how;
     private long firstAt;
@@ -107,7 +97,6 @@
         } finally {
             desk.timers().end(stall);
             desk.timers().end(whole);
-            gone = !goesOn;
             if (goesOn) {
                 at.rest();
             } else if (parts) {
@@ -180,8 +169,10 @@
             desk.records().turnedAway(prompted, "taken_before");
             throw new BadMessage(409, "Req-Id is taken"); // a box would see a second copy of that request
         }
+        HeldAnswer held = new HeldAnswer(desk.streams().get(clazz), desk.heldBytes(), System.nanoTime());
+        answer = held;
         Request request = new Request(prompted, clazz, Math.max(0, desk.tenants().indexOf(prompted.tenant())),
-                new PassedOn(head.method(), head.target(), prompted.id(), body), this, desk.clock().now());
+                new PassedOn(head.method(), head.target(), prompted.id(), body), held, desk.clock().now());
         if (!desk.module().taken(request)) {
             desk.records().turnedAway(prompted, "mailbox_full");
             return say(503, "too much at once", head, at.later());
@@ -192,8 +183,9 @@
         bytes = 0;
         retryNs = -1;
         try {
-            return answer(request, head);
+            return answer(request, held, head);
         } finally {
+            held.close();
             request.end = new Request.End(how, firstAt, desk.clock().now(), events, bytes, retryNs);
             if (request.sideDone()) {
                 desk.records().answered(request);
@@ -209,11 +201,11 @@
         return at.whole();
     }
 
-    private boolean answer(Request request, HttpHead head) throws IOException, InterruptedException {
+    private boolean answer(Request request, HeldAnswer held, HttpHead head) throws IOException, InterruptedException {
         boolean begun = false;
         try {
             while (true) {
-                Letter letter = mailbox.poll(LOOK, TimeUnit.NANOSECONDS);
+                HeldAnswer.Letter letter = held.next(LOOK);
                 if (letter == null) {
                     if (connection.look() == Connection.Look.CLOSED) {
                         desk.module().left(request);
@@ -221,17 +213,18 @@
                     }
                     continue;
                 }
-                switch (letter.kind) {
+                switch (letter.kind()) {
                     case EVENT -> {
                         if (begun) {
-                            writer.event(letter.event);
+                            writer.event(letter.event());
                         } else {
-                            writer.firstEvent(letter.event, closing(head));
+                            writer.firstEvent(letter.event(), closing(head));
                             begun = true;
                             firstAt = desk.clock().now();
                         }
-                        bytes += letter.event.length;
-                        events += EventStream.isText(letter.event) ? 1 : 0;
+                        held.taken(letter.event().length);
+                        bytes += letter.event().length;
+                        events += EventStream.isText(letter.event()) ? 1 : 0;
                     }
                     case ENDED -> {
                         writer.lastChunk();
@@ -240,8 +233,8 @@
                     }
                     case REFUSED -> {
                         how = Event.Final.REFUSED;
-                        retryNs = letter.retryAfterNs > 0 ? letter.retryAfterNs : -1;
-                        return say(503, "refused", head, ClientConnections.Desk.retryAfter(letter.retryAfterNs));
+                        retryNs = letter.retryAfterNs() > 0 ? letter.retryAfterNs() : -1;
+                        return say(503, "refused", head, ClientConnections.Desk.retryAfter(letter.retryAfterNs()));
                     }
                     case FAILED -> {
                         how = Event.Final.FAILED;
@@ -268,31 +261,4 @@
     }
 
     // ---- The mailbox ------------------------------------------------------------------------------
-
-    @Override public boolean event(byte[] event) {
-        try {
-            boolean room = !gone && mailbox.offer(new Letter(Kind.EVENT, event, 0), SLOWEST, TimeUnit.NANOSECONDS);
-            if (!room) {
-                connection.close(); // it has not read for long
-            }
-            return room && !gone;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
-        }
-    }
-
-    @Override public void ended() { last(Kind.ENDED, 0); }
-
-    @Override public void broken() { last(Kind.BROKEN, 0); }
-
-    @Override public void refused(long retryAfterNs) { last(Kind.REFUSED, retryAfterNs); }
-
-    @Override public void failed() { last(Kind.FAILED, 0); }
-
-    private void last(Kind kind, long retryAfterNs) {
-        if (!mailbox.offer(new Letter(kind, null, retryAfterNs))) {
-            connection.close(); // it has not read for long; this tells it that its stream is not whole
-        }
-    }
 }
--- /dev/null
+++ b/router/src/main/java/streamproxy/routing/HeldAnswer.java
@@ -0,0 +1,139 @@
+package streamproxy.routing;
+
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import streamproxy.streams.StreamLimits;
+import streamproxy.streams.StreamState;
+import streamproxy.streams.StreamState.Step;
+import streamproxy.transport.Budget;
+
+/**
+ * One request's answer between those who give it and the thread that writes it to the client. What waits for a slow
+ * client is bounded in bytes, for each answer and for all together; while as much waits as may, the box is not read and
+ * no thread waits there. {@link StreamState} decides; this carries it out.
+ */
+final class HeldAnswer implements Client {
+    enum Kind { EVENT, ENDED, BROKEN, REFUSED, FAILED }
+
+    /** What the client gets next. */
+    record Letter(Kind kind, byte[] event, long retryAfterNs) { }
+
+    private static final Runnable NOTHING = () -> { };
+
+    private final StreamState state;
+    private final long lagNs;
+    private final Budget all;
+    private final ArrayDeque<byte[]> events = new ArrayDeque<>();
+    private int charged; // of the budget for all
+    private Letter last;
+    private Runnable goOn = NOTHING;
+    private boolean paused;
+    private boolean gone;
+
+    /** @param all bytes that all answers together may hold */
+    HeldAnswer(StreamLimits limits, Budget all, long now) {
+        state = new StreamState(limits, now);
+        this.all = all;
+        lagNs = limits.lagNs();
+    }
+
+    /** How long the client may stand still. */
+    long lagNs() { return lagNs; }
+
+    // ---- Who gives it -------------------------------------------------------------------------------
+
+    @Override public synchronized Room event(byte[] event, Runnable whenRoom) {
+        if (gone || last != null) {
+            return Room.GONE;
+        }
+        long now = System.nanoTime();
+        events.add(event);
+        Step step = state.event(now, event.length);
+        if (all.tryTake(event.length, 0)) {
+            charged += event.length;
+        } else if (step != Step.PAUSE) {
+            step = state.full(now); // the others hold what there is
+        }
+        notifyAll();
+        if (step == Step.PAUSE) {
+            paused = true;
+            goOn = whenRoom;
+            return Room.FULL;
+        }
+        return Room.MORE;
+    }
+
+    @Override public synchronized long silenceNs() { return state.gapNs(); }
+
+    @Override public void ended() { last(Kind.ENDED, 0); }
+
+    @Override public void broken() { last(Kind.BROKEN, 0); }
+
+    @Override public void refused(long retryAfterNs) { last(Kind.REFUSED, retryAfterNs); }
+
+    @Override public void failed() { last(Kind.FAILED, 0); }
+
+    private synchronized void last(Kind kind, long retryAfterNs) {
+        if (last == null) {
+            last = new Letter(kind, null, retryAfterNs);
+            if (kind == Kind.ENDED) {
+                state.whole(System.nanoTime());
+            } else {
+                state.broke();
+            }
+            notifyAll();
+        }
+    }
+
+    // ---- The client's thread ------------------------------------------------------------------------
+
+    /** Waits so long at most; null where nothing has come by then. What was held comes before the end. */
+    synchronized Letter next(long waitNs) throws InterruptedException {
+        if (events.isEmpty() && last == null) {
+            TimeUnit.NANOSECONDS.timedWait(this, waitNs);
+        }
+        byte[] event = events.poll();
+        return event != null ? new Letter(Kind.EVENT, event, 0) : last;
+    }
+
+    /** The client has taken an event of so many bytes; where there is room again the box is read on. */
+    void taken(int bytes) {
+        Runnable then = NOTHING;
+        synchronized (this) {
+            int back = Math.min(charged, bytes);
+            charged -= back;
+            all.giveBack(back);
+            if (state.written(System.nanoTime(), bytes) == Step.RESUME) {
+                then = resume();
+            }
+        }
+        then.run();
+    }
+
+    /** Whether the client has left as much waiting as may be for longer than it may. */
+    synchronized boolean isTooSlow() { return state.time(System.nanoTime()) == Step.END_READER; }
+
+    /** Nobody writes it any more: whoever gives it hears of that, at once if it is paused. */
+    void close() {
+        Runnable then;
+        synchronized (this) {
+            gone = true;
+            state.givenUp();
+            events.clear();
+            all.giveBack(charged);
+            charged = 0;
+            then = resume();
+        }
+        then.run();
+    }
+
+    private Runnable resume() {
+        Runnable then = paused ? goOn : NOTHING;
+        paused = false;
+        goOn = NOTHING;
+        return then;
+    }
+
+    /** Bytes that wait for the client. */
+    synchronized long held() { return state.held(); }
+}
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -12,6 +12,8 @@
 import streamproxy.decision.Routing;
 import streamproxy.decision.SettingsText;
 import streamproxy.protocol.BoxEntry;
+import streamproxy.streams.RetryBudget;
+import streamproxy.streams.Together;
 import streamproxy.timing.TimerWheel;
 import streamproxy.decision.Routing.Health;
 import streamproxy.decision.Routing.ListForm;
@@ -33,8 +35,12 @@
 
     private record Began(Attempt attempt) implements Message { }
 
-    private record AttemptOver(Attempt attempt, Outcome outcome, double keptTokens, LoadReport report)
-            implements Message { }
+    private record AttemptOver(Attempt attempt, Outcome outcome, double keptTokens, LoadReport report, boolean stalled)
+            implements Message {
+        AttemptOver(Attempt attempt, Outcome outcome, double keptTokens, LoadReport report) {
+            this(attempt, outcome, keptTokens, report, false);
+        }
+    }
 
     private record ProbeOver(long box, Outcome outcome, long afterNs, LoadReport report) implements Message { }
 
@@ -89,6 +95,7 @@
     private final Map<Long, String> known = new HashMap<>(); // the boxes' uids
     private final Map<Long, String> states = new HashMap<>(); // of boxes, for records alone
     private final Records records;
+    private final Together stalls; // null: each silence is its own
     private final TimerWheel wheel;
     /** Events that an action brings about at once; the module gets them after the event it is at. */
     private final ArrayDeque<Message> own = new ArrayDeque<>();
@@ -98,18 +105,23 @@
     private long numbers;
     private volatile boolean knowsBoxes;
 
-    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes) { this(text, seed, clock, boxes, Records.NONE); }
+    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes) { this(text, seed, clock, boxes, Records.NONE, null, null); }
 
-    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes, Records records) {
+    /**
+     * @param retries what may be sent again for all requests together; null where that is not bounded
+     * @param stalls  tells streams of one box that fall silent together; null where each is reported by itself
+     */
+    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes, Records records, RetryBudget retries, Together stalls) {
         super("module", MAILBOX);
         this.records = records;
+        this.stalls = stalls;
         this.clock = clock;
         this.boxes = boxes;
         deployment = text.deployment();
         settings = text.settings();
         now = clock.now();
         wheel = new TimerWheel(TICK_SHIFT, now);
-        policy = new Policy(settings, seed, now, this);
+        policy = new Policy(settings, seed, now, this, retries);
     }
 
     /** Whom to ask for the box list: once before {@link #start}. */
@@ -134,6 +146,13 @@
         }
     }
 
+    /** The box has fallen silent within the attempt's stream. */
+    void stalled(Attempt attempt) {
+        if (attempt.end()) {
+            put(new AttemptOver(attempt, Outcome.RESET, 0, null, true));
+        }
+    }
+
     void probed(long box, Outcome outcome, long afterNs, LoadReport report) {
         put(new ProbeOver(box, outcome, afterNs, report));
     }
@@ -172,6 +191,10 @@
             arrive(m.request);
         } else if (message instanceof Began m) {
             m.attempt.request.dropBody();
+            if (stalls != null) {
+                stalls.began(m.attempt.boxId);
+                m.attempt.began = true;
+            }
             policy.on(now, new Routing.FirstByte(m.attempt.request.number, m.attempt.number, m.attempt.boxId,
                     now - m.attempt.sentAt));
         } else if (message instanceof AttemptOver m) {
@@ -210,14 +233,27 @@
             close(request);
         }
         request.ended++;
-        m.attempt.outcome = m.outcome;
+        Outcome outcome = m.stalled && stalls != null ? verdict(m.attempt) : m.outcome;
+        if (m.attempt.began) {
+            stalls.ended(m.attempt.boxId);
+        }
+        m.attempt.outcome = outcome;
         m.attempt.tookNs = now - m.attempt.sentAt;
         records.ended(m.attempt);
-        policy.on(now, new Routing.Ended(request.number, m.attempt.number, m.attempt.boxId, m.outcome, request.over,
+        policy.on(now, new Routing.Ended(request.number, m.attempt.number, m.attempt.boxId, outcome, request.over,
                 now - m.attempt.sentAt, m.keptTokens, m.report));
         forget(request);
     }
 
+    /** Streams that stall together are one fault of their box, and one that does by itself is none. */
+    private Outcome verdict(Attempt attempt) {
+        if (!stalls.stalled(attempt.boxId, now)) {
+            return Outcome.CANCELLED;
+        }
+        records.box(attempt.box, null, "stalls", "its streams fell silent together");
+        return Outcome.ERROR;
+    }
+
     private void clientLeft(Request request) {
         if (request.over) {
             return;
--- a/router/src/test/java/streamproxy/stories/RecordsStories.java
+++ b/router/src/test/java/streamproxy/stories/RecordsStories.java
@@ -1,6 +1,7 @@
 package streamproxy.stories;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
@@ -226,6 +227,31 @@
         assertEquals(List.of(), malformed);
     }
 
+    /** Six streams that fall silent at once are one fault of their box: told six times it would be left out for minutes. */
+    @Test public void aBoxWhoseStreamsStallTogetherIsToldOfOnce() throws Exception {
+        ScriptedBox box = keep(new ScriptedBox(e -> {
+            e.streamHead();
+            for (int i = 0; i < 40; i++) {
+                e.chunk("data: " + i + "\n\n");
+            }
+            e.awaitClose();
+        }));
+        routerWith("[streams]\nstall_factor = 8\nstall_least_s = 0.2\n", box);
+        List<Caller> callers = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            callers.add(keep(new Caller(router.address())).send(Caller.prompt("a" + i, "{}")));
+        }
+        for (Caller caller : callers) {
+            assertFalse(caller.readAll().endsWith(END));
+        }
+        for (int i = 0; i < 6; i++) {
+            assertEquals("broken", request("a" + i).value("request", "end"));
+        }
+        assertEquals(1, of("box", f -> f.value("box", "state").equals("stalls")).size());
+        assertEquals(1, of("attempt", f -> f.value("attempt", "outcome").equals("error")).size());
+        assertEquals(5, of("attempt", f -> f.value("attempt", "outcome").equals("cancelled")).size());
+    }
+
     /** The platform names no operator's file: there nothing of all this may run. */
     @Test public void withoutAnOperatorNothingIsRecorded() throws Exception {
         deployment = keep(new Deployment("127.0.0.1:0", 1024, keep(new ScriptedBox(SERVES))));
--- /dev/null
+++ b/router/src/test/java/streamproxy/stories/StreamStories.java
@@ -0,0 +1,195 @@
+package streamproxy.stories;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.junit.After;
+import org.junit.Test;
+import streamproxy.program.Router;
+
+/** Streams whose clients are slow to read, and boxes that fall silent. */
+public class StreamStories {
+    private static final String END = "0\r\n\r\n";
+    /** More than all socket buffers on the way take. */
+    private static final int EVENTS = 2_000;
+    /** More than the router's socket to a client takes. */
+    private static final int FEW = 600;
+    private static final String FILLING = "x".repeat(16 * 1024);
+
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private Router router;
+
+    @After public void end() throws Exception {
+        for (int i = opened.size() - 1; i >= 0; i--) {
+            opened.get(i).close();
+        }
+        router.close();
+    }
+
+    private <T extends AutoCloseable> T keep(T it) {
+        opened.add(it);
+        return it;
+    }
+
+    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (!condition.getAsBoolean()) {
+            assertTrue("not in time: " + what, System.nanoTime() < until);
+            Thread.sleep(5);
+        }
+    }
+
+    private ScriptedBox routerOver(String operator, ScriptedBox.Script script) throws Exception {
+        ScriptedBox box = keep(new ScriptedBox(script));
+        router = keep(new Deployment("127.0.0.1:0", 1024, box)).start(RecordsStories.operator(operator));
+        return box;
+    }
+
+    /** A client with little room in its socket. */
+    private Socket client(String id) throws IOException {
+        Socket socket = keep(new Socket());
+        socket.setReceiveBufferSize(16 * 1024);
+        socket.connect(router.address());
+        socket.setSoTimeout(30_000);
+        socket.getOutputStream().write(Caller.prompt(id, "{}").getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
+    private static boolean threadTo(ScriptedBox box) {
+        String port = box.address().substring(box.address().lastIndexOf(':'));
+        return Thread.getAllStackTraces().keySet().stream().anyMatch(t -> t.getName().startsWith("to ") && t.getName().endsWith(port));
+    }
+
+    /** The numbers of the events that come, up to the end of the stream; fails where it is not whole. */
+    private static int readAll(Socket socket) throws IOException {
+        InputStream in = new BufferedInputStream(socket.getInputStream(), 64 * 1024);
+        StringBuilder line = new StringBuilder();
+        int next = 0;
+        while (true) {
+            int c = in.read();
+            assertTrue("closed after event " + next, c >= 0);
+            if (c != '\n') {
+                line.append((char) c);
+                continue;
+            }
+            String text = line.toString().strip();
+            line.setLength(0);
+            if (text.startsWith("data: ")) {
+                assertEquals("event", "data: " + next + " " + FILLING, text);
+                next++;
+            } else if (text.equals("0")) {
+                return next;
+            }
+        }
+    }
+
+    private static void stream(ScriptedBox.Exchange e, AtomicInteger written, int events) throws IOException {
+        e.streamHead();
+        for (int i = 0; i < events; i++) {
+            e.chunk("data: " + i + " " + FILLING + "\n\n");
+            written.incrementAndGet();
+        }
+        e.write(END);
+    }
+
+    /** What it has not read is held up to a bound, the rest stays with the box; and nobody waits at the box meanwhile. */
+    @Test public void aSlowClientHoldsABoundedPartOfItsStreamAndNoSecondThread() throws Exception {
+        AtomicInteger written = new AtomicInteger();
+        ScriptedBox box = routerOver("[streams]\nhold_kb = 64\nlag_s = 600\n", e -> stream(e, written, EVENTS));
+        Socket client = client("a1");
+        await("the answer has begun", () -> written.get() > 10);
+        await("nobody waits at the box", () -> router.held() >= 64 * 1024 && !threadTo(box));
+        assertTrue("held " + router.held(), router.held() <= 64 * 1024 + FILLING.length() + 64);
+        assertTrue("the box has not sent all", written.get() < EVENTS);
+        assertEquals(EVENTS, readAll(client));
+        await("nothing is held", () -> router.held() == 0);
+        client.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        assertEquals('H', client.getInputStream().read());
+    }
+
+    @Test public void aClientThatReadsNothingIsEndedAndItsBoxIsFreeAtOnce() throws Exception {
+        CountDownLatch freed = new CountDownLatch(1);
+        routerOver("[streams]\nhold_kb = 64\nlag_s = 0.3\n", e -> {
+            try {
+                stream(e, new AtomicInteger(), EVENTS);
+            } catch (IOException closed) {
+                freed.countDown();
+            }
+        });
+        Socket client = client("a1");
+        assertTrue("the box was told", freed.await(20, TimeUnit.SECONDS));
+        await("nothing is held", () -> router.held() == 0 && router.clients().active() == 0);
+        byte[] all;
+        try {
+            all = client.getInputStream().readAllBytes();
+        } catch (IOException reset) {
+            all = new byte[0];
+        }
+        assertFalse("it does not take it for whole", new String(all, StandardCharsets.US_ASCII).endsWith(END));
+    }
+
+    @Test public void allSlowClientsTogetherHoldNoMoreThanTheyMay() throws Exception {
+        ScriptedBox box = routerOver("[streams]\nhold_kb = 256\nhold_all_mb = 1\nlag_s = 600\n", e -> stream(e, new AtomicInteger(), FEW));
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            clients.add(client("a" + i));
+        }
+        await("nobody waits at the box", () -> box.attempts.size() == 8 && router.held() > (1 << 20) - 17_000 && !threadTo(box));
+        assertTrue("held " + router.held(), router.held() <= 1 << 20);
+        for (Socket client : clients) {
+            assertEquals(FEW, readAll(client));
+        }
+        await("nothing is held", () -> router.held() == 0);
+    }
+
+    /** One that leaves while its stream waits for it: the box hears of it without anyone having waited there. */
+    @Test public void aClientThatLeavesWhileItsStreamWaitsFreesTheBox() throws Exception {
+        CountDownLatch freed = new CountDownLatch(1);
+        AtomicInteger written = new AtomicInteger();
+        ScriptedBox box = routerOver("[streams]\nhold_kb = 64\nlag_s = 600\n", e -> {
+            try {
+                stream(e, written, EVENTS);
+            } catch (IOException closed) {
+                freed.countDown();
+            }
+        });
+        Socket client = client("a1");
+        await("nobody waits at the box", () -> router.held() >= 64 * 1024 && !threadTo(box));
+        client.setSoLinger(true, 0);
+        client.close();
+        assertTrue("the box was told", freed.await(20, TimeUnit.SECONDS));
+        await("nothing is held", () -> router.held() == 0 && router.clients().held() == 0);
+    }
+
+    /** A pause of 0.8 s is within the settings' limit, but none that a stream of an event a millisecond makes. */
+    @Test public void aStreamThatFallsSilentIsGivenUpByItsOwnPace() throws Exception {
+        routerOver("[streams]\nstall_factor = 8\nstall_least_s = 0.1\n[connections]\nclient_idle_s = 600\n", e -> {
+            e.streamHead();
+            for (int i = 0; i < 40; i++) {
+                e.chunk("data: " + i + "\n\n");
+            }
+            e.socket().setSoTimeout(800);
+            try {
+                e.awaitClose();
+            } catch (java.net.SocketTimeoutException pauseOver) {
+                e.write(END);
+            }
+        });
+        try (Caller caller = new Caller(router.address())) {
+            String answer = caller.send(Caller.prompt("a1", "{}")).readAll();
+            assertTrue(answer, answer.contains("data: 39\n\n") && !answer.endsWith(END));
+        }
+    }
+}
