Time out only requests whose bytes do not come, not those that wait for us

Now the timer looks whether bytes wait, and a request that is whole is served. A reload says which sections need a restart; measuring programs leave no process behind.

--- a/lab/src/main/java/streamproxy/lab/Holder.java
+++ b/lab/src/main/java/streamproxy/lab/Holder.java
@@ -17,6 +17,7 @@
         process = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx256m", "-cp",
                 System.getProperty("java.class.path"), Lab.class.getName(), "hold", "--port", String.valueOf(router.getPort()),
                 "--clients", String.valueOf(clients))).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
         says = process.inputReader();
         ask = process.outputWriter();
     }
--- a/lab/src/main/java/streamproxy/lab/ReconnectCommand.java
+++ b/lab/src/main/java/streamproxy/lab/ReconnectCommand.java
@@ -72,6 +72,7 @@
             busy.start();
             TimeUnit.SECONDS.sleep(5); // the JVM warms up
             for (int run = 1; run <= runs; run++) {
+                TimeUnit.SECONDS.sleep(1); // each busy client has asked since the crowd did, as in service
                 busy.reset();
                 int opened = fleet.connections();
                 idle.leave();
--- a/lab/src/main/java/streamproxy/lab/RouterProcess.java
+++ b/lab/src/main/java/streamproxy/lab/RouterProcess.java
@@ -26,6 +26,7 @@
 
     private RouterProcess(Process process, InetSocketAddress address, List<Path> files) {
         this.process = process;
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly)); // a measurement that is broken off leaves none
         this.address = address;
         this.files = files;
     }
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import org.tinylog.Logger;
 import streamproxy.limits.Admission;
 import streamproxy.limits.ComeBack;
@@ -35,6 +36,9 @@
     /** Share of the heap that may be held for clients that are slow to read, where the operator sets none. */
     private static final double HELD_SHARE = 0.1;
 
+    /** Sections of the operator's file that a reload does not change. */
+    private static final List<String> UNTIL_RESTART = List.of("streams", "retries");
+
     private final Lifecycle lifecycle;
     private final Recording recording;
     private final QuietConnections quiet;
@@ -45,6 +49,7 @@
     private final BoxEntry.News known;
     private final Listener listener;
     private final NodeConfig config;
+    private final OperatorFile started;
     private final int heldMost;
     private final Budget heldBytes;
     private volatile ConnectionLimits limits;
@@ -65,6 +70,7 @@
         Budget bodyBytes = new Budget((int) Math.min(Integer.MAX_VALUE, BODIES_SHARE * heap()));
         quiet = new QuietConnections();
         this.limits = limits;
+        started = operator;
         heldMost = held(operator);
         heldBytes = new Budget(heldMost);
         ModelBoxes boxes = new ModelBoxes(new ModelBoxes.Desk(text.deployment(), text.reportLayout(), boxPlaces, clock, quiet,
@@ -132,6 +138,11 @@
                 limits = limits(config.sockets(), config.memoryMb(), operator);
                 clients.change(limits);
                 list.moveTo(discovery);
+                for (String section : UNTIL_RESTART) {
+                    if (!operator.isAlike(started, section)) {
+                        Logger.warn("reload: [{}] is as before until a restart", section);
+                    }
+                }
                 recording.reloaded(operator);
             } catch (Unusable e) {
                 recording.refused(e.getMessage());
--- a/router/src/main/java/streamproxy/protocol/OperatorFile.java
+++ b/router/src/main/java/streamproxy/protocol/OperatorFile.java
@@ -1,5 +1,6 @@
 package streamproxy.protocol;
 
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -171,6 +172,11 @@
         return line.substring(0, end).strip();
     }
 
+    /** Whether both come to the same figures in that section. */
+    public boolean isAlike(OperatorFile other, String section) {
+        return Arrays.stream(Key.values()).filter(key -> key.section.equals(section)).allMatch(key -> get(key) == other.get(key));
+    }
+
     /** What is set, or what holds else. */
     public double get(Key key) { return set.getOrDefault(key, key.otherwise); }
 
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -37,6 +37,10 @@
         private volatile boolean late;
 
         @Override protected void due(long now) {
+            if (connection.hasArrived()) {
+                desk.timers().set(this, WHOLE_LOOK); // it is we who are late: what is there shall be read
+                return;
+            }
             late = true;
             connection.endReading();
         }
@@ -49,6 +53,8 @@
     /** How long a write may be kept waiting that is no part of a stream, and how often that is looked at. */
     private static final long STALLED = 10_000 * MS;
     private static final long STALL_LOOK = 1_000 * MS;
+    /** How soon is looked again at a request whose time is over while bytes of it wait to be read. */
+    private static final long WHOLE_LOOK = 50 * MS;
 
     private final ClientConnection at;
     private final Connection connection;
@@ -194,10 +200,8 @@
     }
 
     /** Its time has ended with it; false where the connection was given up for others before. */
-    private boolean isWhole() throws BadMessage {
-        if (!desk.timers().end(whole)) {
-            throw new BadMessage(408, "the request takes too long"); // at this moment, and the connection cannot be read again
-        }
+    private boolean isWhole() {
+        desk.timers().end(whole); // if it went off at this moment the request is served all the same, as the last here
         return at.whole();
     }
 
@@ -252,7 +256,7 @@
         }
     }
 
-    private boolean closing(HttpHead head) { return head.closes() || desk.leaving().getAsBoolean(); }
+    private boolean closing(HttpHead head) { return whole.late || head.closes() || desk.leaving().getAsBoolean(); }
 
     private boolean say(int status, String text, HttpHead head, String... fields) throws IOException {
         boolean close = closing(head);
--- a/router/src/main/java/streamproxy/routing/HeldAnswer.java
+++ b/router/src/main/java/streamproxy/routing/HeldAnswer.java
@@ -111,7 +111,9 @@
     }
 
     /** Whether the client has left as much waiting as may be for longer than it may. */
-    synchronized boolean isTooSlow() { return state.time(System.nanoTime()) == Step.END_READER; }
+    synchronized boolean isTooSlow() {
+        return state.phase() == StreamState.Phase.LAGGING && state.time(System.nanoTime()) == Step.END_READER;
+    }
 
     /** Nobody writes it any more: whoever gives it hears of that, at once if it is paused. */
     void close() {
--- a/router/src/main/java/streamproxy/transport/Connection.java
+++ b/router/src/main/java/streamproxy/transport/Connection.java
@@ -29,6 +29,7 @@
     private volatile int closed;
     private byte[] buffer; // none while the connection is quiet
     private volatile long writingSince; // 0: no write is waiting
+    private volatile boolean readingEnded;
     private int next;
     private int end;
 
@@ -93,6 +94,7 @@
 
     /** From now on reads find the end, one that is waiting too. Any thread may say so. */
     public void endReading() {
+        readingEnded = true;
         try {
             channel.shutdownInput();
         } catch (IOException e) {
@@ -105,6 +107,9 @@
         if (next < end) {
             return Look.DATA;
         }
+        if (readingEnded) {
+            return Look.QUIET; // by ourselves: it says nothing of the peer
+        }
         try {
             if (buffer == null) {
                 buffer = new byte[BUFFER];
--- a/router/src/test/java/streamproxy/stories/ProgramStories.java
+++ b/router/src/test/java/streamproxy/stories/ProgramStories.java
@@ -209,8 +209,12 @@
                 }
                 assertTrue(line, line.contains("line 2: [connections] client_idle: no such key"));
                 awaitReloaded(log);
-                Files.writeString(file, "[connections]\nclient_idle_s = 0.1\nclient_mute_s = 600\n");
+                Files.writeString(file, "[connections]\nclient_idle_s = 0.1\nclient_mute_s = 600\n[streams]\nhold_kb = 32\n");
                 hangUp(program);
+                for (line = log.readLine(); !line.contains("reload: ");) {
+                    line = log.readLine();
+                }
+                assertTrue("what cannot change is said: " + line, line.contains("reload: [streams] is as before until a restart"));
                 awaitReloaded(log);
                 try (Caller later = caller(at, program)) {
                     String answer = later.send(Caller.prompt("a2", "{}")).readAll(); // comes back with the close
