Check all of an operator's file before a reload changes anything, and look up no name

Found on reading the change again: a reload applied limits and box list before it refused a bad [syslog] section; on every SIGHUP, the platform's too, the host's name was looked up for records that nobody wants; a stream that was over before its first event was told counted among its box's for ever. Now the file is checked first, without an operator's file no class of syslog is touched, and such streams are not counted.

--- a/router/src/main/java/streamproxy/program/Recording.java
+++ b/router/src/main/java/streamproxy/program/Recording.java
@@ -68,9 +68,15 @@
 
     private static String word(Lifecycle.Phase phase) { return phase.name().toLowerCase(Locale.ROOT); }
 
+    /** Whether a file that was read anew could be used; before anything of it takes effect. */
+    static void check(OperatorFile operator) throws Unusable {
+        if (operator != OperatorFile.NONE) {
+            SyslogSettings.wishes(operator, 0);
+        }
+    }
+
     /** The operator's file was read anew: keys are, too; what else concerns records needs a restart, and that is said. */
-    void reloaded(OperatorFile operator) throws Unusable {
-        SyslogSettings.wishes(operator, 0);
+    void reloaded(OperatorFile operator) {
         if (operator != OperatorFile.NONE && !texts(operator).equals(set)) {
             Logger.warn("reload: [syslog] and its collectors are as before until a restart; certificates and keys are read anew");
         }
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -135,8 +135,10 @@
             try {
                 InetSocketAddress discovery = reload.discovery();
                 OperatorFile operator = reload.operator();
-                limits = limits(config.sockets(), config.memoryMb(), operator);
-                clients.change(limits);
+                ConnectionLimits wanted = limits(config.sockets(), config.memoryMb(), operator);
+                Recording.check(operator); // all that can be refused, before anything takes effect
+                limits = wanted;
+                clients.change(wanted);
                 list.moveTo(discovery);
                 for (String section : UNTIL_RESTART) {
                     if (!operator.isAlike(started, section)) {
--- a/router/src/main/java/streamproxy/program/SyslogSettings.java
+++ b/router/src/main/java/streamproxy/program/SyslogSettings.java
@@ -55,7 +55,13 @@
         if (spool == null && general.set.containsKey("spool_mb")) {
             throw general.unusable("spool_mb", "without a spool there is nothing to bound");
         }
-        Message.Origin origin = new Message.Origin((int) general.whole("facility", 0, 23, 16), general.set.getOrDefault("host", hostName()),
+        if (collectors.isEmpty()) {
+            if (general.set.keySet().stream().anyMatch(key -> !key.equals("json"))) {
+                throw general.unusable(null, "no [syslog collector NAME] is set");
+            }
+            return Optional.empty(); // no host's name is looked up for nothing
+        }
+        Message.Origin origin = new Message.Origin((int) general.whole("facility", 0, 23, 16), general.set.containsKey("host") ? general.set.get("host") : hostName(),
                 general.set.getOrDefault("app", "streamproxy"), ProcessHandle.current().pid(), version(),
                 (int) general.whole("enterprise", 1, Integer.MAX_VALUE, Message.DOCUMENTATION), general.flag("clock_synced", false),
                 System.currentTimeMillis());
@@ -65,12 +71,6 @@
         long report = general.seconds("report_s", 0.1, 86_400, 60);
         long stalled = general.seconds("stalled_s", 0.1, 600, 5);
         Path folder = spool == null ? null : general.path("spool", spool);
-        if (collectors.isEmpty()) {
-            if (general.set.keySet().stream().anyMatch(key -> !key.equals("json"))) {
-                throw general.unusable(null, "no [syslog collector NAME] is set");
-            }
-            return Optional.empty();
-        }
         return Optional.of(new Syslog.Wishes(origin, collectors, to.equals("all"), queue, failBack, drain, report, stalled, folder,
                 spoolMb * MB, seed));
     }
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -191,7 +191,7 @@
             arrive(m.request);
         } else if (message instanceof Began m) {
             m.attempt.request.dropBody();
-            if (stalls != null) {
+            if (stalls != null && m.attempt.outcome == null) { // else it is over, and was counted as ended
                 stalls.began(m.attempt.boxId);
                 m.attempt.began = true;
             }
