--- a/router/src/test/java/streamproxy/stories/RecordsStories.java
+++ b/router/src/test/java/streamproxy/stories/RecordsStories.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -252,13 +253,34 @@
         assertEquals(5, of("attempt", f -> f.value("attempt", "outcome").equals("cancelled")).size());
     }
 
+    /** What is refused is refused whole: a bad collector must not let the limits beside it take effect. */
+    @Test public void aReloadWithABadCollectorChangesNothing() throws Exception {
+        routerWith("", keep(new ScriptedBox(SERVES)));
+        OperatorFile bad = operator("[connections]\nclients_most = 1\n[syslog collector x]\naddress = nowhere\n");
+        router.reload(new Router.Reload() {
+            @Override public java.net.InetSocketAddress discovery() {
+                String[] at = deployment.list.address().split(":");
+                return new java.net.InetSocketAddress(at[0], Integer.parseInt(at[1]));
+            }
+
+            @Override public OperatorFile operator() { return bad; }
+        });
+        await("it is refused", () -> !of("reload", f -> f.value("reload", "why").contains("address must be HOST:PORT")).isEmpty());
+        try (Caller one = new Caller(router.address()); Caller other = new Caller(router.address())) {
+            one.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").readTo("ready");
+            other.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").readTo("ready");
+            assertTrue(one.send(Caller.prompt("a1", "{}")).readTo(END).startsWith("HTTP/1.1 200 "));
+        }
+    }
+
     /** The platform names no operator's file: there nothing of all this may run. */
     @Test public void withoutAnOperatorNothingIsRecorded() throws Exception {
         deployment = keep(new Deployment("127.0.0.1:0", 1024, keep(new ScriptedBox(SERVES))));
+        Set<Thread> before = Thread.getAllStackTraces().keySet();
         router = deployment.start();
         assertNull(router.records());
-        assertTrue(Thread.getAllStackTraces().keySet().stream().noneMatch(t -> t.getName().startsWith("syslog ") && t.isAlive()
-                && !t.isDaemon()));
+        assertTrue(Thread.getAllStackTraces().keySet().stream().filter(t -> !before.contains(t))
+                .noneMatch(t -> t.getName().startsWith("syslog ") || t.getName().equals("records as lines")));
     }
 
     @Test public void asJsonLinesTheyStandOnStandardError() throws Exception {
