--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -32,20 +32,6 @@
         }
     }
 
-    /** Ends the reading of a request that is not whole in time; a byte now and then must not hold a place for ever. */
-    private final class Whole extends TimerWheel.Timer {
-        private volatile boolean late;
-
-        @Override protected void due(long now) {
-            if (connection.hasArrived()) {
-                desk.timers().set(this, WHOLE_LOOK); // it is we who are late: what is there shall be read
-                return;
-            }
-            late = true;
-            connection.endReading();
-        }
-    }
-
     private static final String PATH = "/v1/chat/completions";
     private static final long MS = 1_000_000L;
     /** How often the client's side is looked at while its request waits. */
@@ -53,8 +39,6 @@
     /** How long a write may be kept waiting that is no part of a stream, and how often that is looked at. */
     private static final long STALLED = 10_000 * MS;
     private static final long STALL_LOOK = 1_000 * MS;
-    /** How soon is looked again at a request whose time is over while bytes of it wait to be read. */
-    private static final long WHOLE_LOOK = 50 * MS;
 
     private final ClientConnection at;
     private final Connection connection;
@@ -62,7 +46,7 @@
     private final HttpReader reader;
     private final HttpWriter writer;
     private final Stall stall = new Stall();
-    private final Whole whole = new Whole();
+    private final WholeTime whole;
     private volatile HeldAnswer answer; // of the request that is served; null before
     // Of the answer that is being given; this thread alone touches them.
     private Event.Final how;
@@ -75,6 +59,7 @@
         this.at = at;
         this.connection = connection;
         this.desk = desk;
+        whole = new WholeTime(connection, desk.timers());
         reader = new HttpReader(connection);
         writer = new HttpWriter(connection);
     }
@@ -93,7 +78,7 @@
         } catch (BadMessage e) {
             parts = reject(e);
         } catch (IOException e) {
-            if (whole.late) {
+            if (whole.isOver()) {
                 parts = reject(new BadMessage(408, "the request takes too long"));
             } else {
                 Logger.debug(e, "a client's connection ended");
@@ -256,7 +241,7 @@
         }
     }
 
-    private boolean closing(HttpHead head) { return whole.late || head.closes() || desk.leaving().getAsBoolean(); }
+    private boolean closing(HttpHead head) { return whole.isOver() || head.closes() || desk.leaving().getAsBoolean(); }
 
     private boolean say(int status, String text, HttpHead head, String... fields) throws IOException {
         boolean close = closing(head);
