Count the latency that reports tell against a slow replica

Lines at fault: Policy.busy knew unread tokens and requests held, not how slow the machine is. Now latency over the mean counts as held requests over the mean do.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -50,7 +50,7 @@
     private static final double PREFIX_MEMORY = 25.0 * SECOND;
     private static final int PREFIXES_MOST = 4096;
     private static final double KEEPERS = 2.5;
-    /** What a replica with twice the usual answers running is behind by, in mean prompts. */
+    /** What twice the usual answers running, or twice the latency, is behind by, in mean prompts. */
     private static final double STRAIN = 1;
     /** What each own attempt out adds, in mean prompts: reports come late, slow replicas keep theirs. */
     private static final double RUNNING = 0.1;
@@ -74,6 +74,7 @@
         double unread;               // prompt tokens unread by the last report
         long reportAt = -1;
         long probeAt = -1;           // an unanswered probe went out then
+        double latency;              // of its last answers, in ms by that report; 0 where it tells none
         double held;                 // requests in hand, or memory or cores in use, by that report
         double sentSince;            // own tokens sent since that report
         int running;                 // own attempts out
@@ -149,6 +150,7 @@
     private double backlog;          // share of the work to turn away for the sake of the rest
     private double meanUnread;
     private double meanHeld;
+    private double meanLatency;      // as reports tell it, in ms
     private double meanFirst;        // from a send to its first token
     private double strainNear = 1;
     private double strainFar = 1;
@@ -309,6 +311,11 @@
             meanHeld += 0.05 * (held - meanHeld);
         }
         meanUnread += 0.05 * (unread - meanUnread);
+        r.latency = report.latencyMs() > 0 ? report.latencyMs() : 0;
+        if (r.latency > 0) { // one that stands still is no measure for the others
+            double most = meanLatency == 0 ? r.latency : 3 * meanLatency;
+            meanLatency += (meanLatency == 0 ? 1 : 0.05) * (Math.min(r.latency, most) - meanLatency);
+        }
         if (r.listed) {
             delist(r); // listed anew at the end, or not at all
         }
@@ -350,11 +357,14 @@
         return known ? r.unread + Math.max(r.sentSince, r.pending) : meanUnread + r.pending;
     }
 
-    /** Load, and what running answers, the own ones above all, slow a new one by, in tokens. */
+    /** Load, and what running answers and a slow machine keep a new one waiting for, in tokens. */
     private double busy(long now, Rep r) {
-        boolean known = r.reportAt >= 0 && now - r.reportAt < STALE && meanHeld > 0;
-        double strain = known ? STRAIN * Math.max(0, r.held / meanHeld - 1) : 0;
-        return load(now, r) + meanPrompt * (strain + RUNNING * r.running);
+        double strain = 0;
+        if (r.reportAt >= 0 && now - r.reportAt < STALE) {
+            strain += meanHeld > 0 ? Math.max(0, r.held / meanHeld - 1) : 0;
+            strain += meanLatency > 0 ? Math.max(0, r.latency / meanLatency - 1) : 0;
+        }
+        return load(now, r) + meanPrompt * (STRAIN * strain + RUNNING * r.running);
     }
 
     private boolean probe(long now, Rep r) {
--- a/decision/src/test/java/streamproxy/decision/PolicyTest.java
+++ b/decision/src/test/java/streamproxy/decision/PolicyTest.java
@@ -62,6 +62,21 @@
         assertEquals(List.of(3L), rig.sends(10));
     }
 
+    /** In a large fleet a gateway meets a slow replica too seldom to learn it from its own time-outs. */
+    @Test void replicaThatReportsSlowAnswersIsPassedOverWhileOthersAreIdle() {
+        double no = Double.NaN;
+        Rig rig = three(pull(safe()));
+        for (int i = 0; i < 10; i++) { // what is usual here
+            rig.on(new Routing.Probed(3, Outcome.OK, MS, new Routing.LoadReport(0, no, no, no, no, 100, no)));
+        }
+        rig.on(new Routing.Probed(1, Outcome.OK, MS, new Routing.LoadReport(0, no, no, no, no, 800, no)));
+        rig.on(new Routing.Probed(2, Outcome.OK, MS, new Routing.LoadReport(0, no, no, no, no, 110, no)));
+        rig.arrive(10, 0, 1000, 0).arrive(11, 0, 1000, 0).arrive(12, 0, 1000, 0);
+        assertEquals(List.of(3L), rig.sends(10));
+        assertEquals(List.of(2L), rig.sends(11));
+        assertNotEquals(List.of(1L), rig.sends(12), "nothing unread there, but 800 ms to a first token");
+    }
+
     @Test void listEntryEndsWithItsReport() {
         Rig rig = three(pull(safe())).report(2, 0);
         rig.now += 3 * S; // no timer rings: the entry is old, other owners have sent there since
