Give cold boxes their turns where routers are many, and take the first idle one drawn

Of 14 routers each sees a prompt every 100 to 200 ms and a turn lasts as long, so turns passed unused; completes were kept from cold boxes since their time was reckoned by first tokens that hold the warm ones' queues. And drawn prompts waited for each probe in turn: 23 ms (median), 66 ms (p90) of 360 ms, though one with a fresh, idle report was among those drawn. Ruled out: probes answered by an error are no limit on probes: they end after 152 ms, whatever the number in that second.

Now a turn keeps for a quarter of the rule's window, cold ones are reckoned by the latency they report, and the first of those drawn that is known idle is taken. Turns come at min(1, tip/2) of the slowest ramp, before min(1, tip/3): 1 in place of 0.83.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -229,6 +229,7 @@
             boolean ready = e.health() == Health.READY;
             changed |= r.ready != ready || r.zone != e.zone() || r.born != e.bornNs();
             if (r.born != e.bornNs()) {
+                r.latency = 0;
                 r.reportAt = -1; // a restarted process is another one: what was known of it is void
                 r.strikes = 0;
                 r.ejectedUntil = 0;
@@ -553,7 +554,6 @@
             if (asked) {
                 q.probesUntil = now + (long) (PROBE_PATIENCE * Math.min(q.aimAt - now, q.endAt - now));
                 waiting.add(q);
-                return;
             }
         }
         choose(now, q);
@@ -680,20 +680,22 @@
     private void choose(long now, Req q) {
         Prefix p = prefix(now, q);
         Rep to = null;
+        boolean asked = false;           // a probe is out that may yet show an idle one
         for (Rep r : q.drawn) {
-            if (r.probeAt >= 0 && now < q.probesUntil) {
-                return;
-            }
             if (usable(now, r, q)) {
-                if (to == null || cost(now, q, p, r) < cost(now, q, p, to)) {
-                    to = r;
-                }
-                if (busy(now, r) <= z()) {
-                    to = r; // the first idle one, probes of the later ones need not be waited for
+                boolean open = r.probeAt >= 0 && now < q.probesUntil;
+                if (busy(now, r) <= z() && !(open && stale(now, r))) {
+                    to = r; // the first that is known to be idle: probes of the others need not be waited for
+                    asked = false;
                     break;
                 }
+                asked |= open;
+                to = to == null || cost(now, q, p, r) < cost(now, q, p, to) ? r : to;
             }
         }
+        if (asked) {
+            return;
+        }
         waiting.remove(q);
         q.probesUntil = -1;
         if (to == null) {
@@ -730,8 +732,10 @@
             if (cold(now, r) && r.ejectedUntil <= now && mayRepeat(now, q, r) && inTime(now, q, r)) {
                 carried = carried < 0 ? carried(now) : carried;
                 long turn = turnOf(now, r, carried);
-                if (turn > r.coldTurn && Math.floorMod(turn + r.ring, (long) set.gateways()) == set.me()) {
-                    r.coldTurn = turn;
+                long mine = turn - Math.floorMod(turn + r.ring - set.me(), (long) set.gateways());
+                // A gateway of many sees few prompts, and perhaps none in the instant of its turn: it keeps.
+                if (mine > r.coldTurn && mine >= turnOf(now - set.rules().fallNs() / 4, r, carried)) {
+                    r.coldTurn = mine;
                     send(now, q, r, Choice.COLD_TURN);
                     return true;
                 }
@@ -744,7 +748,10 @@
     private boolean inTime(long now, Req q, Rep r) {
         double can = set.rules().startCapacity()
                 + (1 - set.rules().startCapacity()) * (now - r.born) / set.rules().rampNs();
-        return meanFirst / can <= COLD_IN_TIME * (q.aimAt - now);
+        // What it told was measured when it was colder; the mean of first tokens holds the others' queues.
+        double usual = meanLatency > 0 ? meanLatency * MS : meanFirst;
+        double first = r.latency > 0 ? r.latency * MS : usual / can;
+        return first <= COLD_IN_TIME * (q.aimAt - now);
     }
 
     private long turnOf(long now, Rep r, double carried) {
@@ -752,7 +759,7 @@
         double ramp = set.rules().rampNs() / (double) SECOND;
         double floor = set.rules().startCapacity();
         double grown = floor * age + (1 - floor) * age * age / (2 * ramp);
-        return (long) (grown * carried * Math.min(1, set.rules().tipMultiple() / 3));
+        return (long) (grown * carried * Math.min(1, set.rules().tipMultiple() / 2));
     }
 
     /** Requests a second that a warm replica carries now, which is at most its capacity. */
--- a/decision/src/test/java/streamproxy/decision/PolicyTest.java
+++ b/decision/src/test/java/streamproxy/decision/PolicyTest.java
@@ -77,6 +77,17 @@
         assertNotEquals(List.of(1L), rig.sends(12), "nothing unread there, but 800 ms to a first token");
     }
 
+    /** With 14 routers reports are mostly old: a third of a prompt's time went by waiting for each probe in turn. */
+    @Test void oneKnownToBeIdleIsTakenWithoutWaitingForTheProbesOfOthers() {
+        Rig rig = three(pull(safe()));
+        rig.arrive(10, 0, 1000, 0);
+        assertEquals(0, rig.sends(10).size(), "nothing is known yet");
+        List<Long> probed = rig.actions.stream().filter(a -> a.startsWith("probe ")).map(a -> Long.parseLong(a.substring(6))).toList();
+        long last = probed.get(probed.size() - 1);
+        rig.report(last, 0); // the answers of those asked before are still out
+        assertEquals(List.of(last), rig.sends(10));
+    }
+
     @Test void listEntryEndsWithItsReport() {
         Rig rig = three(pull(safe())).report(2, 0);
         rig.now += 3 * S; // no timer rings: the entry is old, other owners have sent there since
@@ -354,6 +365,29 @@
         assertEquals(List.of(1L), rig.sends(50), "what a full list leaves out is gone");
     }
 
+    /** Of 14 gateways each may see a prompt every 400 ms, and a turn lasts less: 4 in 10 turns found nobody to take them. */
+    @Test void turnsOfAColdReplicaAreTakenWhereGatewaysAreManyAndPromptsFew() {
+        int gateways = 14;
+        List<Rig> rigs = new ArrayList<>();
+        for (int me = 0; me < gateways; me++) {
+            Rig rig = new Rig(settings(me, gateways, Reports.SILENT, false, safe()), 300 + me);
+            rig.list(ListForm.FULL, ready(1), ready(2), ready(3), ready(4), ready(5), ready(6), ready(7));
+            rigs.add(rig.pass(me * 400 * MS / gateways));
+        }
+        int cold = 0;
+        for (int i = 0; i < 89; i++) {
+            for (Rig rig : rigs) {
+                if (i == 65) { // half of its ramp is over: it can do 0.6 of the five a second of a warm one
+                    rig.list(ListForm.DELTA, at(99, 0, rig.now - 10 * S, Health.READY));
+                }
+                rig.arrive(i, 0, 1000, 0);
+                cold += rig.sentTo(i, 0) == 99 ? 1 : 0;
+                rig.serve(i).pass(400 * MS);
+            }
+        }
+        assertTrue(cold > 32 && cold < 42, "in 9.6 s, with turns for 0.6 to 1 of five a second: " + cold);
+    }
+
     @Test void aColdReplicaGetsFewRequestsFromAllGatewaysTogether() {
         int gateways = 4;
         List<Rig> rigs = new ArrayList<>();
