Give cold turns at the former third of what tips a box over again

At fault: the pace raised from 0.83 to 1 of the slowest ramp in this work; with retries the requests that arrive are more than warm boxes carry, so that the pace is above what a cold one can do.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -759,7 +759,7 @@
         double ramp = set.rules().rampNs() / (double) SECOND;
         double floor = set.rules().startCapacity();
         double grown = floor * age + (1 - floor) * age * age / (2 * ramp);
-        return (long) (grown * carried * Math.min(1, set.rules().tipMultiple() / 2));
+        return (long) (grown * carried * Math.min(1, set.rules().tipMultiple() / 3));
     }
 
     /** Requests a second that a warm replica carries now, which is at most its capacity. */
