Use what can be read of a box list, and ask for all of it when versions go back

Seen: one entry that could not be read (no uid, an endpoint that is no address) made BoxEntry.news throw, and with it every change in that object was lost, drains too; a version that went back was taken as the newest, so that what came between was never asked for again; an address like 300.0.0.1 was looked up as a name; each failed call was a line in the log, thousands in an outage. Missing numbers of routers were refused, zero and contradictory ones only by "bad value", and a reload did not look at them.

Now an entry costs no more than itself: its box stays as it was, unless it is told draining or gone; of two entries the one not ready counts. After a version that goes back the whole list is asked for, at the module's pace; meanwhile what it tells draining or gone is. Each fault is logged once. Numbers of routers are checked at the start and at a reload. The await of four stories is one, and the scaffold of RouterStories is Story's.

--- a/decision/src/main/java/streamproxy/decision/SettingsText.java
+++ b/decision/src/main/java/streamproxy/decision/SettingsText.java
@@ -8,11 +8,13 @@
 
 /** Reads the path=value settings of an instance. Unknown paths are passed over. */
 public final class SettingsText {
-    /** A setting that a rule needs is missing or unreadable; the message names it. */
+    /** A setting that a rule needs is missing, unreadable or impossible; the message names it. */
     public static final class Missing extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
         Missing(String path) { super("setting missing or unreadable: " + path); }
+
+        Missing(String path, String why) { super("setting " + path + ": " + why); }
     }
 
     private final Map<String, String> values = new HashMap<>();
@@ -64,10 +66,36 @@
             case "pull" -> Routing.Reports.PULL;
             default -> Routing.Reports.SILENT;
         };
-        return new Routing.Settings((int) need("Me"), (int) need("Balancers"), (int) get("Az", 0), classes, tenants,
+        return new Routing.Settings(me(), gateways(), (int) get("Az", 0), classes, tenants,
                 get("OverShareWorth", 1), reports, onRequest, rules, limits, prices);
     }
 
+    /** How many routers share the boxes. A wrong number would have each take the turns or the boxes of others. */
+    public int gateways() {
+        int gateways = whole("Balancers");
+        if (gateways < 1) {
+            throw new Missing("Balancers", gateways + " is no number of routers");
+        }
+        return gateways;
+    }
+
+    /** Which of them this one is, from 0. */
+    public int me() {
+        int me = whole("Me");
+        if (me < 0 || me >= gateways()) {
+            throw new Missing("Me", me + " is none of " + gateways() + " routers, which are numbered from 0");
+        }
+        return me;
+    }
+
+    private int whole(String path) {
+        double value = need(path);
+        if (value != (int) value) {
+            throw new Missing(path, values.get(path) + " is no whole number");
+        }
+        return (int) value;
+    }
+
     /** What a router needs to know of its deployment beside what the module is told. */
     public record Deployment(List<String> centres, List<String> kinds, List<String> tenants, long connectTimeoutNs,
             long keepaliveNs, List<Long> silenceNs) { }
--- a/router/src/main/java/streamproxy/program/Main.java
+++ b/router/src/main/java/streamproxy/program/Main.java
@@ -42,5 +42,8 @@
     }
 
     /** Why, in one line. */
-    static String unusable(Exception e) { return "streamproxy: " + String.valueOf(e.getMessage()).replace('\n', ' '); }
+    static String unusable(Exception e) {
+        String where = e instanceof SettingsText.Missing ? "NODE_CONFIG: " : "";
+        return "streamproxy: " + where + String.valueOf(e.getMessage()).replace('\n', ' ');
+    }
 }
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -49,6 +49,7 @@
     private final BoxEntry.News known;
     private final Listener listener;
     private final NodeConfig config;
+    private final Routing.Settings settings;
     private final OperatorFile started;
     private final int heldMost;
     private final Budget heldBytes;
@@ -63,8 +64,8 @@
         lifecycle = new Lifecycle(recording::phase);
         Clock clock = new Clock();
         SettingsText text = new SettingsText(config.settings());
-        Routing.Settings settings = text.settings();
-        known = BoxEntry.news(config.known());
+        settings = text.settings();
+        known = known(config);
         ConnectionLimits limits = limits(config.sockets(), config.memoryMb(), operator);
         Budget boxPlaces = new Budget(limits.boxesMost());
         Budget bodyBytes = new Budget((int) Math.min(Integer.MAX_VALUE, BODIES_SHARE * heap()));
@@ -88,6 +89,14 @@
         listener = new Listener(config.listen(), clients);
     }
 
+    private static BoxEntry.News known(NodeConfig config) throws Unusable {
+        try {
+            return BoxEntry.news(config.known());
+        } catch (IllegalArgumentException e) {
+            throw new Unusable("NODE_CONFIG: known: " + e.getMessage());
+        }
+    }
+
     /** What so many descriptors, so much memory and the operator's wishes come to. */
     static ConnectionLimits limits(int descriptors, int memoryMb, OperatorFile operator) throws Unusable {
         try {
@@ -119,9 +128,9 @@
 
     public Lifecycle lifecycle() { return lifecycle; }
 
-    /** What is read anew on SIGHUP: where the box list is told, and what the operator says. */
+    /** What is read anew on SIGHUP: what the router was told at its start, and what the operator says. */
     public interface Reload {
-        InetSocketAddress discovery() throws Unusable;
+        NodeConfig.Again node() throws Unusable;
 
         OperatorFile operator() throws Unusable;
     }
@@ -133,26 +142,34 @@
     public void reload(Reload reload) {
         lifecycle.reload(() -> {
             try {
-                InetSocketAddress discovery = reload.discovery();
+                NodeConfig.Again node = reload.node();
+                boolean otherNumbers = node.settings() != null && !hasItsNumbers(new SettingsText(node.settings()));
                 OperatorFile operator = reload.operator();
                 ConnectionLimits wanted = limits(config.sockets(), config.memoryMb(), operator);
                 Recording.check(operator); // all that can be refused, before anything takes effect
                 limits = wanted;
                 clients.change(wanted);
-                list.moveTo(discovery);
+                list.moveTo(node.discovery());
+                if (otherNumbers) {
+                    Logger.warn("reload: the number of routers, and which this one is, are as before until a restart");
+                }
                 for (String section : UNTIL_RESTART) {
                     if (!operator.isAlike(started, section)) {
                         Logger.warn("reload: [{}] is as before until a restart", section);
                     }
                 }
                 recording.reloaded(operator);
-            } catch (Unusable e) {
+            } catch (Unusable | SettingsText.Missing e) {
                 recording.refused(e.getMessage());
                 Logger.error("reload: {}; the old configuration stays", e.getMessage());
             }
         });
     }
 
+    private boolean hasItsNumbers(SettingsText told) {
+        return told.gateways() == settings.gateways() && told.me() == settings.me();
+    }
+
     /** Bytes that wait for clients that are slow to read. */
     public int held() { return heldMost - heldBytes.left(); }
 
--- a/router/src/main/java/streamproxy/program/Serving.java
+++ b/router/src/main/java/streamproxy/program/Serving.java
@@ -1,7 +1,6 @@
 package streamproxy.program;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.concurrent.Semaphore;
 import org.tinylog.Logger;
 import streamproxy.protocol.NodeConfig;
@@ -34,7 +33,7 @@
         }, "leaving"));
         router.start();
         Router.Reload reload = new Router.Reload() {
-            @Override public InetSocketAddress discovery() throws Unusable { return NodeConfig.discoveryInFile(System.getenv()); }
+            @Override public NodeConfig.Again node() throws Unusable { return NodeConfig.again(System.getenv()); }
 
             @Override public OperatorFile operator() throws Unusable { return operator.read(); }
         };
--- a/router/src/main/java/streamproxy/protocol/NodeConfig.java
+++ b/router/src/main/java/streamproxy/protocol/NodeConfig.java
@@ -1,16 +1,22 @@
 package streamproxy.protocol;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** What a router is told at its start, by its environment and the file that it names. */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, int memoryMb,
         Object known, String settings) {
+    private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3}):(\\d{1,5})");
+
     /** What the router was told cannot be used; the message says why in one line. */
     public static final class Unusable extends Exception {
         private static final long serialVersionUID = 1L;
@@ -20,23 +26,37 @@
 
     public static NodeConfig read(Map<String, String> environment) throws Unusable {
         Map<String, Object> config = file(environment);
-        if (!(config.get("settings") instanceof Map)) {
-            throw new Unusable("NODE_CONFIG: no settings");
-        }
-        StringBuilder settings = new StringBuilder();
-        flatten("", config.get("settings"), settings);
+        String settings = settings(config);
         Map<String, Object> limits = Json.object(config.get("limits"));
         double sockets = Json.number(limits.get("sockets"), 1024);
         double memory = Json.number(limits.get("memory_mb"), 192);
         return new NodeConfig(need(environment, "NODE_NAME"), address("NODE_LISTEN", need(environment, "NODE_LISTEN")),
                 address("NODE_DISCOVERY", need(environment, "NODE_DISCOVERY")), seed(config.get("seed")),
-                (int) sockets, (int) memory, config.get("known"), settings.toString());
+                (int) sockets, (int) memory, config.get("known"), settings);
     }
 
-    /** The file that the environment names, read anew: the box list's address in it, which a reload may move. */
-    public static InetSocketAddress discoveryInFile(Map<String, String> environment) throws Unusable {
-        Object told = file(environment).get("discovery");
-        return address("NODE_CONFIG: discovery", Json.string(told, ""));
+    /**
+     * The file that the environment names, read anew.
+     *
+     * @param discovery the box list's address, which a reload may move
+     * @param settings  as in {@link NodeConfig}; null where the file tells none
+     */
+    public record Again(InetSocketAddress discovery, String settings) { }
+
+    public static Again again(Map<String, String> environment) throws Unusable {
+        Map<String, Object> config = file(environment);
+        Object told = config.get("discovery");
+        return new Again(address("NODE_CONFIG: discovery", Json.string(told, "")),
+                config.containsKey("settings") ? settings(config) : null);
+    }
+
+    private static String settings(Map<String, Object> config) throws Unusable {
+        if (!(config.get("settings") instanceof Map)) {
+            throw new Unusable("NODE_CONFIG: no settings");
+        }
+        StringBuilder settings = new StringBuilder();
+        flatten("", config.get("settings"), settings);
+        return settings.toString();
     }
 
     private static Map<String, Object> file(Map<String, String> environment) throws Unusable {
@@ -68,12 +88,23 @@
 
     /** An address and port as in {@code 10.0.0.4:8081}; names are not looked up. */
     public static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        String host = colon < 0 ? "" : text.substring(0, colon);
-        if (!host.matches("\\d{1,3}(\\.\\d{1,3}){3}")) {
-            throw new IllegalArgumentException("not an address: " + text);
+        Matcher parts = ADDRESS.matcher(text);
+        if (!parts.matches()) {
+            throw new IllegalArgumentException("not an address and port: " + text);
+        }
+        byte[] host = new byte[4];
+        for (int i = 0; i < host.length; i++) {
+            int part = Integer.parseInt(parts.group(i + 1));
+            if (part > 255) {
+                throw new IllegalArgumentException("not an address and port: " + text);
+            }
+            host[i] = (byte) part;
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(host), Integer.parseInt(parts.group(5)));
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException(e); // only for a length that is none of an address's
         }
-        return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
     }
 
     private static long seed(Object value) throws Unusable {
--- a/router/src/main/java/streamproxy/routing/BoxList.java
+++ b/router/src/main/java/streamproxy/routing/BoxList.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.tinylog.Logger;
 import streamproxy.protocol.BoxEntry;
 import streamproxy.protocol.HttpHead;
@@ -31,17 +33,23 @@
 
     private record Heard(Call call, BoxEntry.News news) implements Message { }
 
-    private record Failed(Call call) implements Message { }
+    /** A call has ended; {@code why} is null where that is no fault. */
+    private record Failed(Call call, Exception why) implements Message { }
 
     private record Moved(InetSocketAddress to) implements Message { }
 
     private static final int MAILBOX = 256;
     private static final String PATH = "/v1/endpoints";
+    private static final String FAILED = "a call failed: ";
     /** A watch carries at least an empty line every 2 s: without one for so long it has failed. */
     private static final long SILENCE = 5_000_000_000L;
 
+    /** So many different faults are kept in mind, so as not to be logged again. */
+    private static final int LOGGED_MOST = 200;
+
     private final Budget budget;
     private final ModuleActor module;
+    private final Set<String> logged = new HashSet<>();
     private InetSocketAddress discovery;
     /** The last version that this service told; none since the move to it. */
     private OptionalLong version = OptionalLong.empty();
@@ -63,7 +71,8 @@
     /** Starts from the list as this router had it last, which may be old. */
     public void startFrom(BoxEntry.News known) {
         version = OptionalLong.of(known.version());
-        module.listNews(ListForm.CACHED, known.boxes());
+        logFaults(known);
+        module.listNews(ListForm.CACHED, known.boxes(), known.kept());
         start();
     }
 
@@ -86,6 +95,9 @@
         } else if (message instanceof Heard m) {
             heard(m);
         } else if (message instanceof Failed m) {
+            if (m.why != null && !m.call.closed) {
+                log(FAILED + m.why);
+            }
             failed(m.call);
         }
     }
@@ -109,7 +121,14 @@
         if (m.call == former) {
             tell(m.news); // its versions mean nothing to the new service
         } else if (m.call.at.equals(discovery) && (m.call == watch || !m.call.watching)) {
+            if (version.isPresent() && m.news.version() < version.getAsLong()) {
+                if (m.call.watching) { // else a single answer that the watch has overtaken
+                    goesBack(m);
+                }
+                return;
+            }
             version = OptionalLong.of(m.news.version());
+            logged.removeIf(fault -> fault.startsWith(FAILED)); // the next failure is another one
             tell(m.news);
             if (former != null) {
                 former.close();
@@ -121,15 +140,40 @@
         }
     }
 
+    /**
+     * A service that tells an older version has lost what it knew, or never had it: only the whole list can say what
+     * holds now. Until it is there the last good state stays, but what is told draining or gone gets nothing more.
+     */
+    private void goesBack(Heard m) {
+        log("version " + m.news.version() + " came after " + version.getAsLong());
+        version = OptionalLong.empty();
+        module.listNews(ListForm.DELTA, m.news.boxes().stream().filter(box -> !box.isReady()).toList(), List.of());
+        m.call.close();
+        failed(m.call);
+    }
+
     private void tell(BoxEntry.News news) {
-        module.listNews(news.full() ? ListForm.FULL : ListForm.DELTA, news.boxes());
+        logFaults(news);
+        module.listNews(news.full() ? ListForm.FULL : ListForm.DELTA, news.boxes(), news.kept());
+    }
+
+    private void logFaults(BoxEntry.News news) { news.faults().forEach(this::log); }
+
+    /** Once for each fault: what is wrong in the list stands in each of its versions, and what fails may do so for hours. */
+    private void log(String fault) {
+        if (logged.size() == LOGGED_MOST) {
+            logged.clear();
+        }
+        if (logged.add(fault)) {
+            Logger.warn("the box list: {}", fault);
+        }
     }
 
     private void failed(Call call) {
         former = call == former ? null : former; // it was to end anyway
         if (call == watch || !call.watching && call.at.equals(discovery)) {
             watch = call == watch ? null : watch;
-            module.listNews(ListForm.FAILED, List.of());
+            module.listNews(ListForm.FAILED, List.of(), List.of());
         }
     }
 
@@ -171,11 +215,10 @@
                     }
                 }
                 if (watching) {
-                    put(new Failed(this)); // a watch that has ended tells nothing more
+                    put(new Failed(this, null)); // a watch that has ended tells nothing more
                 }
             } catch (IOException | IllegalArgumentException e) {
-                Logger.info("the box list's call failed: {}", e.toString());
-                put(new Failed(this));
+                put(new Failed(this, e));
             }
         }
 
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -44,7 +44,7 @@
 
     private record ProbeOver(long box, Outcome outcome, long afterNs, LoadReport report) implements Message { }
 
-    private record ListNews(ListForm form, List<BoxEntry> boxes) implements Message { }
+    private record ListNews(ListForm form, List<BoxEntry> boxes, List<String> kept) implements Message { }
 
     /** A timer that the module asked for. */
     private final class Asked extends TimerWheel.Timer {
@@ -92,7 +92,7 @@
     private final Boxes boxes;
     private final Policy policy;
     private final Map<Long, Request> requests = new HashMap<>();
-    private final Map<Long, String> known = new HashMap<>(); // the boxes' uids
+    private final Map<Long, BoxEntry> known = new HashMap<>(); // as the list told of them last
     private final Map<Long, String> states = new HashMap<>(); // of boxes, for records alone
     private final Records records;
     private final Together stalls; // null: each silence is its own
@@ -157,7 +157,8 @@
         put(new ProbeOver(box, outcome, afterNs, report));
     }
 
-    void listNews(ListForm form, List<BoxEntry> entries) { put(new ListNews(form, entries)); }
+    /** What the box list tells; it names those in {@code kept} too, but how they are could not be read. */
+    void listNews(ListForm form, List<BoxEntry> entries, List<String> kept) { put(new ListNews(form, entries, kept)); }
 
     /** Whether there is any model box to send to. */
     public boolean knowsBoxes() { return knowsBoxes; }
@@ -304,23 +305,26 @@
     }
 
     private void listChange(ListNews news) {
+        List<BoxEntry> boxesNow = new ArrayList<>(news.boxes);
+        for (String uid : news.kept) {
+            BoxEntry before = known.get(BoxEntry.id(uid));
+            if (before != null) {
+                boxesNow.add(before);
+            }
+        }
         List<Routing.Endpoint> entries = new ArrayList<>();
         Set<Long> named = new HashSet<>();
-        for (BoxEntry box : news.boxes) {
-            Health health = switch (box.state()) {
-                case "ready" -> Health.READY;
-                case "gone" -> Health.GONE;
-                default -> Health.DRAINING; // a state unknown here gets nothing new either
-            };
+        for (BoxEntry box : boxesNow) {
+            Health health = box.isReady() ? Health.READY : Health.DRAINING;
             long id = box.id();
-            if (health == Health.GONE || box.endpoint() == null) {
+            if (box.isGone() || box.endpoint() == null) {
                 health = Health.GONE;
                 known.remove(id);
                 boxes.gone(id);
                 note(id, box.uid(), null, "gone");
             } else {
                 named.add(id);
-                known.put(id, box.uid());
+                known.put(id, box);
                 note(id, box.uid(), box.endpoint(), health == Health.READY ? "ready" : "draining");
                 boxes.told(id, box, health == Health.READY);
             }
@@ -330,7 +334,7 @@
         if (news.form == ListForm.FULL || news.form == ListForm.CACHED) {
             for (long id : List.copyOf(known.keySet())) {
                 if (!named.contains(id)) {
-                    note(id, known.remove(id), null, "gone");
+                    note(id, known.remove(id).uid(), null, "gone");
                     boxes.gone(id); // what a full list does not name is gone
                 }
             }
@@ -340,6 +344,11 @@
         policy.on(now, new Routing.ListChange(news.form, entries));
     }
 
+    private String uid(long id) {
+        BoxEntry box = known.get(id);
+        return box == null ? "-" : box.uid();
+    }
+
     private void note(long id, String uid, Object endpoint, String state) {
         if (!records.on()) {
             return;
@@ -361,7 +370,7 @@
             Logger.warn("the module sends request {}, which is not open", request);
             return;
         }
-        Attempt attempt = new Attempt(r, r.attempts.size(), replica, known.getOrDefault(replica, "-"), r.choice, now,
+        Attempt attempt = new Attempt(r, r.attempts.size(), replica, uid(replica), r.choice, now,
                 Math.min(now + Math.max(0, timeoutNs), r.deadlineAt));
         r.attempts.add(attempt);
         boolean moot = r.answered() || attempt.number >= settings.limits().maxAttempts() || !known.containsKey(replica);
@@ -422,7 +431,7 @@
 
     @Override public void leftOut(long replica, boolean out) {
         if (records.on()) {
-            records.box(known.getOrDefault(replica, "-"), null, out ? "left_out" : "taken_back", out ? "its attempts failed" : "it answers again");
+            records.box(uid(replica), null, out ? "left_out" : "taken_back", out ? "its attempts failed" : "it answers again");
         }
     }
 }
--- a/router/src/test/java/streamproxy/stories/ConnectionStories.java
+++ b/router/src/test/java/streamproxy/stories/ConnectionStories.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
+import static streamproxy.stories.Waiting.await;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -16,10 +17,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 import org.junit.After;
 import org.junit.Test;
 import streamproxy.program.Router;
+import streamproxy.protocol.NodeConfig;
 import streamproxy.protocol.OperatorFile;
 import streamproxy.protocol.OperatorReader;
 
@@ -70,14 +71,6 @@
         return box;
     }
 
-    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
-        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-        while (!condition.getAsBoolean()) {
-            assertTrue("not in time: " + what, System.nanoTime() < until);
-            Thread.sleep(5);
-        }
-    }
-
     private static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
@@ -352,7 +345,7 @@
         Thread reloading = new Thread(() -> {
             while (!Thread.currentThread().isInterrupted()) {
                 router.reload(new Router.Reload() {
-                    @Override public InetSocketAddress discovery() { return discovery; }
+                    @Override public NodeConfig.Again node() { return new NodeConfig.Again(discovery, null); }
 
                     @Override public OperatorFile operator() { return files.get(reloads.getAndIncrement() % 2); }
                 });
@@ -388,7 +381,7 @@
         await("the box has it", () -> box.attempts.size() == 1);
         Thread leaves = leaves();
         await("only the request is left", () -> router.clients().held() == 1);
-        assertEquals(1000, idle.closed());
+        await("and each idle one sees its end", () -> idle.closed() == 1000); // a place is free before its socket closes
         go.countDown();
         String answer = caller.readTo(END);
         assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
--- a/router/src/test/java/streamproxy/stories/RecordsStories.java
+++ b/router/src/test/java/streamproxy/stories/RecordsStories.java
@@ -4,6 +4,7 @@
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
+import static streamproxy.stories.Waiting.await;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -18,12 +19,11 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.junit.After;
 import org.junit.Test;
 import streamproxy.program.Router;
+import streamproxy.protocol.NodeConfig;
 import streamproxy.protocol.OperatorFile;
 import streamproxy.protocol.OperatorReader;
 import streamproxy.syslog.reading.Found;
@@ -56,14 +56,6 @@
         return it;
     }
 
-    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
-        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-        while (!condition.getAsBoolean()) {
-            assertTrue("not in time: " + what, System.nanoTime() < until);
-            Thread.sleep(5);
-        }
-    }
-
     /** A strict collector on TCP; its port. */
     private int collector() throws IOException {
         ServerSocket server = keep(new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1")));
@@ -116,7 +108,7 @@
         return found.stream().filter(f -> f.element(element).isPresent() && which.test(f)).toList();
     }
 
-    private Found request(String id) throws InterruptedException {
+    private Found request(String id) throws Exception {
         await("the record of " + id, () -> !of("request", f -> f.value("request", "id").equals(id)).isEmpty());
         List<Found> records = of("request", f -> f.value("request", "id").equals(id));
         assertEquals(id, 1, records.size());
@@ -210,8 +202,8 @@
         deployment.news.add(Deployment.told(2, false, Deployment.entry("s-1", other.address(), "draining")));
         await("it drains", () -> !of("box", f -> f.value("box", "id").equals("s-1") && f.value("box", "state").equals("draining")).isEmpty());
         router.reload(new Router.Reload() {
-            @Override public java.net.InetSocketAddress discovery() throws streamproxy.protocol.NodeConfig.Unusable {
-                throw new streamproxy.protocol.NodeConfig.Unusable("line 7: no good");
+            @Override public NodeConfig.Again node() throws NodeConfig.Unusable {
+                throw new NodeConfig.Unusable("line 7: no good");
             }
 
             @Override public OperatorFile operator() { return OperatorFile.NONE; }
@@ -258,9 +250,8 @@
         routerWith("", keep(new ScriptedBox(SERVES)));
         OperatorFile bad = operator("[connections]\nclients_most = 1\n[syslog collector x]\naddress = nowhere\n");
         router.reload(new Router.Reload() {
-            @Override public java.net.InetSocketAddress discovery() {
-                String[] at = deployment.list.address().split(":");
-                return new java.net.InetSocketAddress(at[0], Integer.parseInt(at[1]));
+            @Override public NodeConfig.Again node() {
+                return new NodeConfig.Again(NodeConfig.address(deployment.list.address()), null);
             }
 
             @Override public OperatorFile operator() { return bad; }
--- a/router/src/test/java/streamproxy/stories/RouterStories.java
+++ b/router/src/test/java/streamproxy/stories/RouterStories.java
@@ -5,71 +5,20 @@
 import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
+import static streamproxy.stories.Waiting.await;
 
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.junit.After;
 import org.junit.Test;
 import streamproxy.program.Lifecycle.Phase;
 import streamproxy.program.Router;
 
 /** What the router does on sockets, told against scripted peers; one story for each way in which it could fail. */
-public class RouterStories {
-    private static final String ONE = "data: {\"choices\":[{\"delta\":{\"content\":\"oqvh\"}}]}\n\n";
-    private static final String TWO = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9}}\n\n";
-    private static final String DONE = "data: [DONE]\n\n";
-    private static final ScriptedBox.Script SERVES = e -> e.stream(ONE, TWO, DONE);
-
-    private final List<AutoCloseable> opened = new ArrayList<>();
-    private Router router;
-
-    @After public void closeAll() throws Exception {
-        for (AutoCloseable o : opened) {
-            o.close();
-        }
-        if (router != null) {
-            router.close();
-        }
-    }
-
-    private <T extends AutoCloseable> T keep(T it) {
-        opened.add(it);
-        return it;
-    }
-
-    private ScriptedBox box(ScriptedBox.Script script) throws IOException { return keep(new ScriptedBox(script)); }
-
-    private Deployment routerOver(ScriptedBox... boxes) throws Exception { return routerIn(keep(Deployment.of(boxes))); }
-
-    private Deployment routerIn(Deployment deployment) throws Exception {
-        router = deployment.start();
-        await("ready", () -> ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
-        return deployment;
-    }
-
-    /** The first line of the answer, on a connection of its own. */
-    private String ask(String request) {
-        try (Caller caller = new Caller(router.address())) {
-            return caller.send(request).readTo("\n");
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
-    private Caller caller() throws IOException { return keep(new Caller(router.address())); }
-
-    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
-        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
-        while (!condition.getAsBoolean()) {
-            assertTrue("not in time: " + what, System.nanoTime() < until);
-            Thread.sleep(5);
-        }
-    }
-
+public class RouterStories extends Story {
     private static String chunk(String text) { return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n"; }
 
     @Test public void eachEventReachesTheClientUnchangedBeforeTheNextIsMade() throws Exception {
--- /dev/null
+++ b/router/src/test/java/streamproxy/stories/Story.java
@@ -0,0 +1,55 @@
+package streamproxy.stories;
+
+import static streamproxy.stories.Waiting.await;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.After;
+import streamproxy.program.Router;
+
+/** One router over scripted boxes, and what is closed after the story. */
+public abstract class Story {
+    static final String ONE = "data: {\"choices\":[{\"delta\":{\"content\":\"oqvh\"}}]}\n\n";
+    static final String TWO = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9}}\n\n";
+    static final String DONE = "data: [DONE]\n\n";
+    static final ScriptedBox.Script SERVES = e -> e.stream(ONE, TWO, DONE);
+
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    Router router;
+
+    @After public void closeAll() throws Exception {
+        for (AutoCloseable o : opened) {
+            o.close();
+        }
+        if (router != null) {
+            router.close();
+        }
+    }
+
+    final <T extends AutoCloseable> T keep(T it) {
+        opened.add(it);
+        return it;
+    }
+
+    final ScriptedBox box(ScriptedBox.Script script) throws IOException { return keep(new ScriptedBox(script)); }
+
+    final Deployment routerOver(ScriptedBox... boxes) throws Exception { return routerIn(keep(Deployment.of(boxes))); }
+
+    final Deployment routerIn(Deployment deployment) throws Exception {
+        router = deployment.start();
+        await("ready", () -> ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
+        return deployment;
+    }
+
+    /** The first line of the answer, on a connection of its own. */
+    final String ask(String request) {
+        try (Caller caller = new Caller(router.address())) {
+            return caller.send(request).readTo("\n");
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    final Caller caller() throws IOException { return keep(new Caller(router.address())); }
+}
--- a/router/src/test/java/streamproxy/stories/StreamStories.java
+++ b/router/src/test/java/streamproxy/stories/StreamStories.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
+import static streamproxy.stories.Waiting.await;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -14,7 +15,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 import org.junit.After;
 import org.junit.Test;
 import streamproxy.program.Router;
@@ -43,14 +43,6 @@
         return it;
     }
 
-    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
-        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-        while (!condition.getAsBoolean()) {
-            assertTrue("not in time: " + what, System.nanoTime() < until);
-            Thread.sleep(5);
-        }
-    }
-
     private ScriptedBox routerOver(String operator, ScriptedBox.Script script) throws Exception {
         ScriptedBox box = keep(new ScriptedBox(script));
         router = keep(new Deployment("127.0.0.1:0", 1024, box)).start(RecordsStories.operator(operator));
