Give a cold box its share of each router's own prompts, not turns of a reckoned pace

Causes: turns were numbered by the pace of arrivals, which starts at nothing with each router and leaps when it changes; a router sees a prompt every 0.1 to 0.4 s, and where two boxes' turns fell to it together the second lapsed. Ruled out: turns counted over time (tried before, no gain).

Policy.earnTurns: with each of its own prompts a cold box earns what it can do, by its age, of a warm one's share; a whole one is a turn. Where routers begin is spread by the ring. The oldest turn goes first and lapses after the rule's window. No pace is reckoned.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -83,7 +83,8 @@
         long ejectedUntil;           // 0 = in service
         boolean reset;               // the last attempt was reset
         boolean trial;               // one attempt out to a replica coming back
-        long coldTurn = -1;          // the cold turn used last
+        double turns;                // while it is cold: a prompt may go there at 1
+        long turnAt;                 // since when
 
         Rep(long id, int gateways) {
             this.id = id;
@@ -233,7 +234,7 @@
                 r.reportAt = -1; // a restarted process is another one: what was known of it is void
                 r.strikes = 0;
                 r.ejectedUntil = 0;
-                r.coldTurn = -1;
+                r.turns = Math.floorMod(set.me() - r.ring, set.gateways()) / (double) set.gateways();
                 delist(r);
             }
             r.zone = e.zone();
@@ -451,6 +452,7 @@
             classWork[i] *= Math.exp(-passed / 10);
         }
         classWork[in.clazz()] += in.promptTokens();
+        earnTurns(now);
         if (shed(q.clazz) && !toCold(now, q)) { // a cold replica has its turns whatever the backlog
             answer(q, Choice.SHED);
             return;
@@ -720,54 +722,60 @@
     // ---- Cold replicas --------------------------------------------------------------------------------
 
     /**
-     * A cold replica takes its turns: the requests that all gateways together may send it are numbered by
-     * the integral of its allowed rate, and each number belongs to one gateway. So no burst can form.
+     * A cold replica takes its share of each gateway's own prompts, as a turn whenever the shares make one.
+     * Where the gateways begin is spread evenly, so that their turns do not come together: no burst can form.
      */
+    private void earnTurns(long now) {
+        long warm = fleet.stream().filter(r -> !cold(now, r)).count();
+        if (warm == fleet.size()) {
+            return;
+        }
+        // A warm one's share of all prompts is at most its capacity's.
+        double share = Math.min(1, set.rules().tipMultiple() / 3) / Math.max(warm, fleet.size() / 2.0);
+        for (Rep r : fleet) {
+            if (cold(now, r)) {
+                // What is not taken lapses as the rule's window has passed: added up it would be a burst.
+                r.turns -= r.turns >= 1 && now - r.turnAt > set.rules().fallNs() ? 1 : 0;
+                if (r.turns < 1) {
+                    r.turns += can(now, r) * share;
+                    r.turnAt = now;
+                }
+            }
+        }
+    }
+
     private boolean toCold(long now, Req q) {
         if (q.in.promptTokens() > 1.5 * meanPrompt) {
             return false;
         }
-        double carried = -1; // counted over the fleet once, and only where a replica is cold
+        Rep to = null;
         for (Rep r : fleet) {
-            if (cold(now, r) && r.ejectedUntil <= now && mayRepeat(now, q, r) && inTime(now, q, r)) {
-                carried = carried < 0 ? carried(now) : carried;
-                long turn = turnOf(now, r, carried);
-                long mine = turn - Math.floorMod(turn + r.ring - set.me(), (long) set.gateways());
-                // A gateway of many sees few prompts, and perhaps none in the instant of its turn: it keeps.
-                if (mine > r.coldTurn && mine >= turnOf(now - set.rules().fallNs() / 4, r, carried)) {
-                    r.coldTurn = mine;
-                    send(now, q, r, Choice.COLD_TURN);
-                    return true;
-                }
+            if (r.turns >= 1 && cold(now, r) && r.ejectedUntil <= now && (to == null || r.turnAt < to.turnAt)
+                    && mayRepeat(now, q, r) && inTime(now, q, r)) {
+                to = r;
             }
         }
-        return false;
+        if (to != null) {
+            to.turns--;
+            send(now, q, to, Choice.COLD_TURN);
+        }
+        return to != null;
+    }
+
+    /** What a cold replica can do, as a share of what it can when it is warm. */
+    private double can(long now, Rep r) {
+        double floor = set.rules().startCapacity();
+        return floor + (1 - floor) * Math.max(0, now - r.born) / set.rules().rampNs();
     }
 
     /** Whether a replica that can do so much less than a warm one has time enough for this prompt. */
     private boolean inTime(long now, Req q, Rep r) {
-        double can = set.rules().startCapacity()
-                + (1 - set.rules().startCapacity()) * (now - r.born) / set.rules().rampNs();
         // What it told was measured when it was colder; the mean of first tokens holds the others' queues.
         double usual = meanLatency > 0 ? meanLatency * MS : meanFirst;
-        double first = r.latency > 0 ? r.latency * MS : usual / can;
+        double first = r.latency > 0 ? r.latency * MS : usual / can(now, r);
         return first <= COLD_IN_TIME * (q.aimAt - now);
     }
 
-    private long turnOf(long now, Rep r, double carried) {
-        double age = (now - r.born) / (double) SECOND;
-        double ramp = set.rules().rampNs() / (double) SECOND;
-        double floor = set.rules().startCapacity();
-        double grown = floor * age + (1 - floor) * age * age / (2 * ramp);
-        return (long) (grown * carried * Math.min(1, set.rules().tipMultiple() / 3));
-    }
-
-    /** Requests a second that a warm replica carries now, which is at most its capacity. */
-    private double carried(long now) {
-        long warm = fleet.stream().filter(r -> !cold(now, r)).count();
-        return arrivals * set.gateways() / Math.max(1, Math.max(warm, fleet.size() / 2));
-    }
-
     // ---- Attempts -------------------------------------------------------------------------------------
 
     private void send(long now, Req q, Rep r, Choice why) {
