Give up an idle connection before another box is refused one; keep probes off the last place

Seen: all boxes share the router's places for connections, and one that rested at a box kept its place until its time was over: an attempt for another box that found none was turned down at once (ModelBox.open). A probe was opened, or queued before attempts, at a box that held all it accepts, so it could take the place that the prompt was meant for.

Now an attempt without a place waits up to 50 ms, and the box whose connection has been idle for longest is asked to give it up; a probe leaves the last place (PoolLimits) and is turned down at a full box. Weighed and left: one ring of idle connections for all boxes, whose lock each request would pass twice. Stories for both, and for numbers of routers that cannot be, at the start and on reload, and for a router killed and started again.

--- a/decision/src/main/java/streamproxy/limits/PoolLimits.java
+++ b/decision/src/main/java/streamproxy/limits/PoolLimits.java
@@ -32,8 +32,11 @@
     }
 
     /** Whether one more may be opened now; if so it counts as being opened. */
-    public boolean tryOpen(long now) {
-        if (!mayOpen(now)) {
+    public boolean tryOpen(long now) { return tryOpen(now, false); }
+
+    /** The same; for a probe too, which leaves the last place to an attempt. */
+    public boolean tryOpen(long now, boolean probe) {
+        if (!mayOpen(now, probe)) {
             return false;
         }
         connecting++;
@@ -41,13 +44,16 @@
         return true;
     }
 
-    /** Whether one more may be opened now. */
-    public boolean mayOpen(long now) {
+    /** Whether one more may be opened now, for a probe if so said. */
+    public boolean mayOpen(long now, boolean probe) { return connecting < connectingMost && hasPlace(now, probe); }
+
+    /** Whether the box would hold one more, however many are being opened. */
+    public boolean hasPlace(long now, boolean probe) {
         if (learned != Integer.MAX_VALUE && now - learnedAt > TRY_AGAIN_NS) {
             learned = (int) Math.min(Integer.MAX_VALUE, learned + Math.max(1, (long) (GROW * learned)));
             learnedAt = now;
         }
-        return connecting < connectingMost && open < Math.min(most, learned);
+        return open < Math.min(most, learned) - (probe && open > 0 ? 1 : 0);
     }
 
     /** When one more may be opened though nothing has ended: at the next trial of the limit that was learned. */
--- a/router/src/main/java/streamproxy/routing/ModelBox.java
+++ b/router/src/main/java/streamproxy/routing/ModelBox.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.tinylog.Logger;
@@ -35,6 +36,15 @@
 
     private record Again(BoxConnection.Errand errand) implements Message { }
 
+    /** Another box has no place left among those that all share: this one gives up an idle connection. */
+    private record GiveUp(ModelBox wanting) implements Message { }
+
+    /** A place among those that all share may be free now. */
+    private record Place() implements Message { }
+
+    /** An errand that waits for a place, or for a connection of its own box that comes to rest. */
+    private record Wanting(BoxConnection.Errand errand, long until) { }
+
     /** There is something to look at: a connection has ended, or the box drains or is gone. */
     private record Look() implements Message { }
 
@@ -46,6 +56,8 @@
      * way to the watch and back, and the others cost nothing while they rest.
      */
     private static final long REST_AFTER = 100_000_000L;
+    /** How long an errand waits for a place: another box gives up an idle connection, or one of this box comes to rest. */
+    private static final long PLACE_WAIT = 50_000_000L;
     /** Share of the box's own time for idle connections after which ours are closed: never write to a closing one. */
     private static final double KEEP = 0.9;
 
@@ -66,6 +78,9 @@
     private final Ring<BoxConnection> lately = new Ring<>(); // idle, the last used last
     private final Ring<BoxConnection> resting = new Ring<>(); // idle for longer, and watched
     private final ArrayDeque<BoxConnection.Errand> queue = new ArrayDeque<>();
+    private final ArrayDeque<Wanting> wanting = new ArrayDeque<>();
+    private final Set<ModelBox> all;
+    volatile long idleLongest = NEVER; // since when its longest idle connection is; the actor alone writes it
     private final Supplier<ConnectionLimits> wanted;
     private final PoolLimits limits;
     private volatile long queueFull; // errands dropped for want of room; the actor alone writes it
@@ -81,6 +96,8 @@
         this.clock = desk.clock();
         this.quiet = desk.quiet();
         this.module = module;
+        all = desk.open();
+        all.add(this);
         wanted = desk.limits();
         limits = new PoolLimits(wanted.get().boxMost(), wanted.get().connectingMost());
         this.endpoint = entry.endpoint();
@@ -108,6 +125,7 @@
     }
 
     void retire() {
+        all.remove(this);
         ready = false;
         retired = true;
         offer(new Look()); // only wakes it: where the mailbox is full it is awake
@@ -169,6 +187,10 @@
             give(new BoxConnection.Errand(null, m.at));
         } else if (message instanceof Again m) {
             give(m.errand);
+        } else if (message instanceof GiveUp m) {
+            giveUpOne(m.wanting);
+        } else if (message instanceof Place && !wanting.isEmpty()) {
+            give(wanting.poll().errand, true);
         } else if (message instanceof Idle m) {
             rest(m.connection);
         } else if (message instanceof Over m) {
@@ -177,8 +199,10 @@
         }
     }
 
+    private void give(BoxConnection.Errand errand) { give(errand, false); }
+
     /** Finds a connection for an errand, or has it wait for one, or says that there is none. */
-    private void give(BoxConnection.Errand errand) {
+    private void give(BoxConnection.Errand errand, boolean lastTry) {
         if (errand.attempt() != null && errand.attempt().isOver()) {
             return;
         }
@@ -202,7 +226,7 @@
             }
             dismissWatched(at);
         }
-        open(errand);
+        open(errand, lastTry);
     }
 
     private void wake(BoxConnection connection, BoxConnection.Errand errand) {
@@ -217,9 +241,12 @@
 
     private static void dismissWatched(BoxConnection connection) { connection.wake(still -> connection.dismiss()); }
 
-    private void open(BoxConnection.Errand errand) {
-        if (!mayOpen(true)) {
-            if (queue.size() < QUEUE) {
+    private void open(BoxConnection.Errand errand, boolean lastTry) {
+        boolean probe = errand.attempt() == null;
+        if (!mayOpen(true, probe)) {
+            if (probe && !hasPlaceForProbe()) {
+                turnDown(errand); // a box that holds all it accepts need not be asked how it fares
+            } else if (queue.size() < QUEUE) {
                 queue.add(errand);
             } else {
                 queueFull++;
@@ -233,20 +260,58 @@
         } catch (IOException e) { // no descriptor to be had
             Logger.warn(e, "no connection to a box can be opened");
         }
-        if (connection == null) {
-            closed(false, false);
+        if (connection != null) {
+            run(new BoxConnection(this, connection, endpoint), errand);
+            return;
+        }
+        closed(false, false);
+        if (lastTry || probe || wanting.size() == QUEUE) {
             turnDown(errand);
         } else {
-            run(new BoxConnection(this, connection, endpoint), errand);
+            wanting.add(new Wanting(errand, clock.now() + PLACE_WAIT));
+            askForPlace();
+        }
+    }
+
+    /** Has the box whose connection has been idle for longest give it up, if another has an idle one. */
+    private void askForPlace() {
+        ModelBox longest = null;
+        for (ModelBox box : all) {
+            longest = box != this && (longest == null || box.idleLongest < longest.idleLongest) ? box : longest;
+        }
+        if (longest != null && longest.idleLongest != NEVER) {
+            longest.offer(new GiveUp(this));
+        }
+    }
+
+    private void giveUpOne(ModelBox wanting) {
+        if (!resting.isEmpty()) {
+            BoxConnection at = resting.first();
+            Ring.leave(at);
+            at.wake(still -> {
+                at.dismiss();
+                wanting.offer(new Place());
+            });
+        } else if (!lately.isEmpty()) {
+            BoxConnection at = lately.first();
+            Ring.leave(at);
+            at.dismiss();
+            wanting.offer(new Place());
         }
     }
 
     /** Whether one more may be opened; with {@code counting} it counts as being opened then. */
-    private boolean mayOpen(boolean counting) {
+    private boolean mayOpen(boolean counting, boolean probe) {
         ConnectionLimits now = wanted.get();
         synchronized (limits) {
             limits.change(now.boxMost(), now.connectingMost());
-            return counting ? limits.tryOpen(clock.now()) : limits.mayOpen(clock.now());
+            return counting ? limits.tryOpen(clock.now(), probe) : limits.mayOpen(clock.now(), probe);
+        }
+    }
+
+    private boolean hasPlaceForProbe() {
+        synchronized (limits) {
+            return limits.hasPlace(clock.now(), true);
         }
     }
 
@@ -272,7 +337,7 @@
     }
 
     private void giveQueued() {
-        while (!queue.isEmpty() && (!lately.isEmpty() || !resting.isEmpty() || mayOpen(false))) {
+        while (!queue.isEmpty() && (!lately.isEmpty() || !resting.isEmpty() || mayOpen(false, false))) {
             give(queue.poll());
         }
     }
@@ -294,9 +359,14 @@
             letGo();
         }
         giveQueued();
+        while (!wanting.isEmpty() && (!lately.isEmpty() || wanting.peek().until <= clock.now())) {
+            give(wanting.poll().errand, true);
+        }
         if (retired && isEmpty()) {
             queue.forEach(this::turnDown);
             queue.clear();
+            wanting.forEach(one -> turnDown(one.errand));
+            wanting.clear();
             stop();
         }
         for (BoxConnection at = lately.first(); at != null && restsAt(at) <= clock.now(); at = lately.first()) {
@@ -308,6 +378,12 @@
                 at.dismiss();
             }
         }
+        idleLongest = idleLongest();
+    }
+
+    private long idleLongest() {
+        BoxConnection first = !resting.isEmpty() ? resting.first() : lately.first();
+        return first == null ? NEVER : first.idleSince();
     }
 
     private void letGo() {
@@ -330,6 +406,7 @@
                 at = Math.min(at, limits.nextTrialAt());
             }
         }
+        at = wanting.isEmpty() ? at : Math.min(at, wanting.peek().until);
         return at == NEVER ? NEVER : at - clock.now();
     }
 }
--- a/router/src/main/java/streamproxy/routing/ModelBoxes.java
+++ b/router/src/main/java/streamproxy/routing/ModelBoxes.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import streamproxy.decision.ReportLayout;
 import streamproxy.decision.SettingsText;
@@ -17,9 +19,15 @@
      *
      * @param budget the connections that may be open to all of them
      * @param limits how many to one of them, and how many of these being opened; may change at any time
+     * @param open   the boxes themselves, any of which may be asked to give up a connection that it has no use for now
      */
     public record Desk(SettingsText.Deployment deployment, ReportLayout layout, Budget budget, Clock clock,
-            QuietConnections quiet, Supplier<ConnectionLimits> limits) { }
+            QuietConnections quiet, Supplier<ConnectionLimits> limits, Set<ModelBox> open) {
+        public Desk(SettingsText.Deployment deployment, ReportLayout layout, Budget budget, Clock clock, QuietConnections quiet,
+                Supplier<ConnectionLimits> limits) {
+            this(deployment, layout, budget, clock, quiet, limits, ConcurrentHashMap.newKeySet());
+        }
+    }
 
     private final Map<Long, ModelBox> byId = new HashMap<>(); // the module's actor alone touches it
     private final Desk desk;
--- a/router/src/test/java/streamproxy/routing/ModelBoxStories.java
+++ b/router/src/test/java/streamproxy/routing/ModelBoxStories.java
@@ -42,11 +42,15 @@
     private final SettingsText text = new SettingsText(SETTINGS);
 
     private ModelBoxes.Desk desk(int connectionsMost, int connectingMost) throws Exception {
+        return desk(connectionsMost, connectingMost, 100);
+    }
+
+    private ModelBoxes.Desk desk(int connectionsMost, int connectingMost, int allMost) throws Exception {
         ConnectionLimits limits = ConnectionLimits.of(1024, 192, 48L << 20,
                 new ConnectionLimits.Wishes(0, 0, 0, 0, connectionsMost, connectingMost, 3, 2));
         QuietConnections quiet = new QuietConnections();
         quiet.start();
-        return new ModelBoxes.Desk(text.deployment(), text.reportLayout(), new Budget(100), clock, quiet,
+        return new ModelBoxes.Desk(text.deployment(), text.reportLayout(), new Budget(allMost), clock, quiet,
                 () -> limits);
     }
 
@@ -56,6 +60,97 @@
         return new Attempt(request, 0, 7, "s-1", null, clock.now(), clock.now() + 4 * SECOND);
     }
 
+    private interface Condition {
+        boolean holds() throws IOException;
+    }
+
+    private static void await(String what, Condition condition) throws Exception {
+        for (long until = System.nanoTime() + 10 * SECOND; !condition.holds();) {
+            assertTrue("not in time: " + what, System.nanoTime() < until);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    private ModelBox box(ModelBoxes.Desk desk, ServerSocket server, ModuleActor module) {
+        BoxEntry entry = new BoxEntry("s-1", (InetSocketAddress) server.getLocalSocketAddress(), "", "", 0, "ready", 1, 0);
+        ModelBox box = new ModelBox(7, entry, desk, module);
+        box.told(entry, true);
+        box.start();
+        return box;
+    }
+
+    private static ServerSocket server(int backlog) throws IOException {
+        ServerSocket server = new ServerSocket(0, backlog, InetAddress.getByName("127.0.0.1"));
+        server.setSoTimeout(10_000);
+        return server;
+    }
+
+    /** Reads a request, and turns it down; the connection stays. */
+    private static String turnDown(Socket socket) throws IOException {
+        String request = request(socket);
+        socket.getOutputStream().write("HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n".getBytes());
+        return request;
+    }
+
+    private static String request(Socket socket) throws IOException {
+        socket.setSoTimeout(10_000);
+        StringBuilder request = new StringBuilder();
+        while (request.indexOf("\r\n\r\n") < 0) {
+            request.append((char) socket.getInputStream().read());
+        }
+        socket.getInputStream().readNBytes(2); // the body that each attempt has here
+        return request.toString();
+    }
+
+    /** Where many boxes share the router's descriptors, those that rest at one must not keep another from its first. */
+    @Test public void anIdleConnectionIsGivenUpBeforeAnotherBoxIsRefusedOne() throws Exception {
+        try (ServerSocket one = server(5); ServerSocket two = server(5)) {
+            ModelBoxes.Desk desk = desk(0, 0, 1);
+            ModuleActor module = new ModuleActor(text, 1, clock, new ModelBoxes(desk));
+            ModelBox first = box(desk, one, module);
+            ModelBox second = box(desk, two, module);
+            for (int i = 0; i < 4; i++) { // at first lately used, later resting
+                ModelBox box = i % 2 == 0 ? first : second;
+                boolean lately = i < 2;
+                Attempt attempt = attempt("a" + i);
+                assertTrue(box.send(attempt));
+                try (Socket socket = (i % 2 == 0 ? one : two).accept()) {
+                    assertTrue(turnDown(socket).contains("Req-Id: a" + i));
+                    await("it rests", () -> box.idleLongest != Actor.NEVER);
+                    await("it is watched", () -> lately || clock.now() - box.idleLongest > 150_000_000L);
+                    assertTrue((i % 2 == 0 ? second : first).send(attempt("b" + i)));
+                    assertEquals("given up by its own box", -1, socket.getInputStream().read());
+                    try (Socket other = (i % 2 == 0 ? two : one).accept()) {
+                        assertTrue(turnDown(other).contains("Req-Id: b" + i));
+                    }
+                }
+            }
+            first.retire();
+            second.retire();
+        }
+    }
+
+    /** A probe in the last place would keep out the prompt that it was to find a place for. */
+    @Test public void probesLeaveTheLastPlaceAtABoxToAttempts() throws Exception {
+        try (ServerSocket server = server(5)) {
+            ModelBoxes.Desk desk = desk(2, 0, 100);
+            ModelBox box = box(desk, server, new ModuleActor(text, 1, clock, new ModelBoxes(desk)));
+            assertTrue(box.send(attempt("a1")));
+            try (Socket first = server.accept()) {
+                assertTrue(box.probe());
+                assertTrue(box.send(attempt("a2")));
+                try (Socket second = server.accept()) {
+                    assertTrue("the probe has not come in between", turnDown(second).contains("Req-Id: a2"));
+                    assertTrue(turnDown(first).contains("Req-Id: a1"));
+                    await("it rests", () -> box.idleLongest != Actor.NEVER);
+                    assertTrue(box.probe());
+                    await("with one at rest it comes", () -> first.getInputStream().available() + second.getInputStream().available() > 0);
+                }
+            }
+            box.retire();
+        }
+    }
+
     /** A box that closes idle connections early, and says nothing, would reset every later request on them. */
     @Test public void aBoxThatClosesKeptConnectionsEarlyHasThemKeptForLess() throws Exception {
         ModelBoxes.Desk desk = desk(0, 0);
@@ -83,10 +178,7 @@
                 }
                 first.setSoLinger(true, 0); // its close is a reset
             }
-            for (long until = System.nanoTime() + 10 * SECOND; box.keepNs() == usual;) {
-                assertTrue("not in time", System.nanoTime() < until);
-                TimeUnit.MILLISECONDS.sleep(5);
-            }
+            await("it is kept for less", () -> box.keepNs() != usual);
             assertTrue(box.keepNs() < usual / 2);
             for (int i = 0; i < 100; i++) {
                 box.keptWell();
@@ -109,10 +201,7 @@
             box.told(entry, false);
             box.start();
             try (Socket unused = server.accept()) {
-                for (long until = System.nanoTime() + 10 * SECOND; !waiting.isOver();) {
-                    assertTrue("not in time", System.nanoTime() < until);
-                    TimeUnit.MILLISECONDS.sleep(5);
-                }
+                await("it is over", waiting::isOver);
                 unused.setSoTimeout(10_000);
                 assertEquals("nothing is written, and nothing kept open to a box that drains", -1, unused.getInputStream().read());
             }
@@ -139,26 +228,16 @@
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             ModelBoxes.Desk desk = desk(0, 2);
             ModuleActor module = new ModuleActor(text, 1, clock, new ModelBoxes(desk));
-            BoxEntry entry = new BoxEntry("s-1", (InetSocketAddress) server.getLocalSocketAddress(), "", "", 0, "ready", 1, 0);
-            ModelBox box = new ModelBox(7, entry, desk, module);
-            box.told(entry, true);
-            box.start();
+            ModelBox box = box(desk, server, module);
             for (int i = 0; i < 8; i++) {
                 assertTrue(box.send(attempt("a" + i)));
             }
-            for (long until = System.nanoTime() + 10 * SECOND; desk.budget().left() > 96;) {
-                assertTrue("not in time", System.nanoTime() < until);
-                TimeUnit.MILLISECONDS.sleep(5);
-            }
+            await("they are on their way", () -> desk.budget().left() <= 96);
             assertEquals("two are up, two on their way, four wait", 96, desk.budget().left());
             try (Socket first = server.accept()) {
                 first.setSoTimeout(10_000);
                 for (int i = 0; i < 3; i++) {
-                    StringBuilder request = new StringBuilder();
-                    while (request.indexOf("\r\n\r\n") < 0) {
-                        request.append((char) first.getInputStream().read());
-                    }
-                    first.getInputStream().readNBytes(2);
+                    String request = request(first);
                     assertTrue(request.toString(), request.indexOf("Req-Id: a") > 0);
                     // The one that was taken off the backlog made room for a third to come up.
                     assertTrue("more were opened: " + desk.budget().left(), desk.budget().left() >= 95);
@@ -174,21 +253,14 @@
         try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
             ModelBoxes.Desk desk = desk(1, 0);
             ModuleActor module = new ModuleActor(text, 1, clock, new ModelBoxes(desk));
-            BoxEntry entry = new BoxEntry("s-1", (InetSocketAddress) server.getLocalSocketAddress(), "", "", 0, "ready", 1, 0);
-            ModelBox box = new ModelBox(7, entry, desk, module);
-            box.told(entry, true);
-            box.start();
+            ModelBox box = box(desk, server, module);
             for (int i = 0; i < 8; i++) {
                 assertTrue(box.send(attempt("a" + i)));
             }
             try (Socket first = server.accept()) {
                 first.setSoTimeout(10_000);
                 for (int i = 0; i < 8; i++) {
-                    StringBuilder request = new StringBuilder();
-                    while (request.indexOf("\r\n\r\n") < 0) {
-                        request.append((char) first.getInputStream().read());
-                    }
-                    first.getInputStream().readNBytes(2);
+                    String request = request(first);
                     assertTrue("in their order: " + request, request.indexOf("Req-Id: a" + i) > 0);
                     assertEquals(99, desk.budget().left());
                     first.getOutputStream().write("HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n".getBytes());
--- a/router/src/test/java/streamproxy/stories/Deployment.java
+++ b/router/src/test/java/streamproxy/stories/Deployment.java
@@ -45,6 +45,11 @@
         configure("{\"discovery\":\"" + address + "\"," + told);
     }
 
+    /** The same with another list's address, and one of the settings told otherwise. */
+    void configureOtherwise(String address, String setting, String otherwise) throws IOException {
+        configure(("{\"discovery\":\"" + address + "\"," + told).replace(setting, otherwise));
+    }
+
     Router start() throws IOException, NodeConfig.Unusable { return start(OperatorFile.NONE); }
 
     Router start(OperatorFile operator) throws IOException, NodeConfig.Unusable {
--- a/router/src/test/java/streamproxy/stories/ProgramStories.java
+++ b/router/src/test/java/streamproxy/stories/ProgramStories.java
@@ -113,11 +113,19 @@
             Process program = start(deployment.environment, "serve");
             try (Caller early = caller(at, program); Caller caller = caller(at, program)) {
                 early.send(Caller.prompt("a1", "{}")).readTo("hello\n\n\r\n");
-                deployment.configure("{\"discovery\":");
-                hangUp(program);
                 BufferedReader log = program.errorReader();
-                for (String line = log.readLine(); !line.contains("the old configuration stays");) {
-                    line = log.readLine();
+                for (String why : List.of("malformed JSON", "Me: 1 is none of 1 routers")) {
+                    if (why.startsWith("Me")) {
+                        deployment.configureOtherwise(list.address(), "\"Me\":0", "\"Me\":1");
+                    } else {
+                        deployment.configure("{\"discovery\":");
+                    }
+                    hangUp(program);
+                    String line = log.readLine();
+                    while (!line.contains("the old configuration stays")) {
+                        line = log.readLine();
+                    }
+                    assertTrue(line, line.contains(why));
                 }
                 deployment.configureDiscovery(list.address());
                 hangUp(program);
@@ -144,6 +152,63 @@
         }
     }
 
+    /** A router that reckons with a wrong number of others takes the turns of some and leaves the boxes of others. */
+    @Test public void numbersOfRoutersThatCannotBeAreSaidAtTheStart() throws Exception {
+        String[][] bad = {{"\"Balancers\":1,", "", "setting missing or unreadable: Balancers"},
+            {"\"Balancers\":1", "\"Balancers\":0", "setting Balancers: 0 is no number of routers"},
+            {"\"Balancers\":1", "\"Balancers\":2.5", "setting Balancers: 2.5 is no whole number"},
+            {"\"Me\":0", "\"Me\":1", "setting Me: 1 is none of 1 routers, which are numbered from 0"}};
+        try (Deployment deployment = Deployment.of()) {
+            for (String[] one : bad) {
+                deployment.configureOtherwise(deployment.list.address(), one[0], one[1]);
+                assertEquals("streamproxy: NODE_CONFIG: " + one[2] + "\n", said(start(deployment.environment, "serve"), 3));
+            }
+        }
+    }
+
+    /** Ten of 14 routers that are killed and come back at once must not come down on the boxes. */
+    @Test public void killedAndStartedAgainUnderLoadItServesAndProbesAndConnectsNoMoreThanItIsAsked() throws Exception {
+        InetSocketAddress at = freeAddress();
+        ScriptedBox[] boxes = new ScriptedBox[12];
+        for (int i = 0; i < boxes.length; i++) {
+            boxes[i] = new ScriptedBox(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
+        }
+        try (Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, boxes)) {
+            for (int life = 0; life < 2; life++) {
+                for (ScriptedBox box : boxes) {
+                    box.connections.set(0);
+                    box.probes.set(0);
+                }
+                Process program = start(deployment.environment, "serve");
+                try {
+                    awaitReady(at, program);
+                    List<Caller> callers = new ArrayList<>();
+                    for (int i = 0; i < 40; i++) {
+                        callers.add(new Caller(at).send(Caller.prompt("a" + i, "{}")));
+                    }
+                    for (int i = 0; i < 40 && life > 0; i++) {
+                        String answer = callers.get(i).readTo("0\r\n\r\n");
+                        assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+                    }
+                    int probes = 0;
+                    int connections = 0;
+                    for (ScriptedBox box : boxes) {
+                        probes += box.probes.get();
+                        connections += box.connections.get();
+                    }
+                    assertTrue("probes " + probes, probes <= 40 + 10); // those saved up for a start, and one for each prompt
+                    assertTrue("connections " + connections, connections <= 40 + probes);
+                } finally {
+                    program.destroyForcibly().waitFor();
+                }
+            }
+        } finally {
+            for (ScriptedBox box : boxes) {
+                box.close();
+            }
+        }
+    }
+
     @Test public void withoutItsConfigurationItSaysWhyInOneLineAndFails() throws Exception {
         try (ScriptedBox box = new ScriptedBox(e -> { });
                 Deployment deployment = Deployment.of(box)) {
--- a/router/src/test/java/streamproxy/stories/ScriptedBox.java
+++ b/router/src/test/java/streamproxy/stories/ScriptedBox.java
@@ -60,6 +60,7 @@
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
     private final BlockingQueue<Socket> open = new LinkedBlockingQueue<>();
     final AtomicInteger connections = new AtomicInteger();
+    final AtomicInteger probes = new AtomicInteger();
     /** The requests that came, probes left out. */
     final BlockingQueue<Exchange> attempts = new LinkedBlockingQueue<>();
     private volatile Script script;
@@ -107,6 +108,7 @@
                 String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
                 Exchange exchange = new Exchange(head, body, socket);
                 if (head.startsWith("GET /status/load ")) {
+                    probes.incrementAndGet();
                     exchange.answer("200 OK", "", "{\"lat_ms\":5,\"rif\":0,\"q\":0,\"x1\":0}");
                 } else {
                     attempts.add(exchange);
