Record each probe and the age of the report that a box was chosen by

Also: PoolLimits.mayOpen looked at the learned limit only where fewer were being opened than may be, so that an errand that waited would have had its box's actor look without a pause (with an operator's limit on connections being opened); PacesTest fails without it. The stand-in collector waits for its old port, which failed once beside other programs.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -792,7 +792,7 @@
         r.sentSince += q.in.promptTokens();
         r.pending += q.in.promptTokens();
         r.trial = r.ejectedUntil > 0;
-        out.chosen(q.in.request(), why);
+        out.chosen(q.in.request(), why, r.reportAt < 0 ? -1 : now - r.reportAt);
         out.send(q.in.request(), r.id, Math.max(1, q.endAt - now));
         wake(now, q);
     }
@@ -885,7 +885,7 @@
 
     /** The one final answer; refused where that is true, failed else. */
     private void answer(Req q, Choice why) {
-        out.chosen(q.in.request(), why);
+        out.chosen(q.in.request(), why, -1);
         if (mayRefuse(q)) {
             // Refused work feeds the overload if it comes back at once: the client is told when to come back.
             out.refuse(q.in.request(), set.limits().retryAfter() ? set.limits().maxRetryAfterNs() : 0);
--- a/decision/src/main/java/streamproxy/decision/Routing.java
+++ b/decision/src/main/java/streamproxy/decision/Routing.java
@@ -166,8 +166,11 @@
 
         void log(String line);
 
-        /** Why the next {@link #send} or the next final answer of that request is as it is; for records alone. */
-        default void chosen(long request, Choice why) { }
+        /**
+         * Why the next {@link #send} or the next final answer of that request is as it is, and how old the report was
+         * that it went by, negative where there was none; for records alone.
+         */
+        default void chosen(long request, Choice why, long reportAgeNs) { }
 
         /** A replica gets nothing for a while, or something again; for records alone. */
         default void leftOut(long replica, boolean out) { }
--- a/decision/src/main/java/streamproxy/limits/PoolLimits.java
+++ b/decision/src/main/java/streamproxy/limits/PoolLimits.java
@@ -45,7 +45,7 @@
     }
 
     /** Whether one more may be opened now, for a probe if so said. */
-    public boolean mayOpen(long now, boolean probe) { return connecting < connectingMost && hasPlace(now, probe); }
+    public boolean mayOpen(long now, boolean probe) { return hasPlace(now, probe) && connecting < connectingMost; }
 
     /** Whether the box would hold one more, however many are being opened. */
     public boolean hasPlace(long now, boolean probe) {
--- a/decision/src/test/java/streamproxy/limits/PacesTest.java
+++ b/decision/src/test/java/streamproxy/limits/PacesTest.java
@@ -90,6 +90,9 @@
         assertTrue(limits.tryOpen(6 * S), "the limit is tried again after a while");
         limits.notOpened(false, 6 * S);
         assertEquals(99, limits.learned(), "our own want of descriptors teaches nothing of the box");
+        limits.change(Integer.MAX_VALUE, 0);
+        assertFalse(limits.tryOpen(12 * S), "enough are being opened");
+        assertTrue(limits.nextTrialAt() > 12 * S, "else whoever waits would look without a pause");
     }
 
     @Test void whatTheOperatorGrantsABoxHoldsBesideWhatWasLearned() {
--- a/records/src/main/java/streamproxy/records/Event.java
+++ b/records/src/main/java/streamproxy/records/Event.java
@@ -13,7 +13,7 @@
     /** The kinds of records; their words are syslog's MSGIDs. */
     enum Kind {
         ATTEMPT(Rank.ATTEMPTS), ANSWER(Rank.ANSWERS), REFUSAL(Rank.REFUSALS), FAILURE(Rank.REFUSALS), BOX(Rank.STATE),
-        LIST(Rank.STATE), RELOAD(Rank.STATE), PHASE(Rank.STATE), QUEUE(Rank.STATE);
+        LIST(Rank.STATE), RELOAD(Rank.STATE), PHASE(Rank.STATE), QUEUE(Rank.STATE), PROBE(Rank.ATTEMPTS);
 
         private final Rank rank;
 
@@ -78,11 +78,16 @@
         @Override public Kind kind() { return how.kind; }
     }
 
-    /** An attempt has ended, its request may go on. */
-    record AttemptEnded(long atMs, String id, int number, Tried tried) implements Event {
+    /** An attempt has ended, its request may go on; {@code reportNs} is the age of the report that its box was chosen by. */
+    record AttemptEnded(long atMs, String id, int number, Tried tried, long reportNs) implements Event {
         @Override public Kind kind() { return Kind.ATTEMPT; }
     }
 
+    /** A box was asked how it fares; the outcome is an attempt's. */
+    record Probed(long atMs, String box, String outcome, long tookNs) implements Event {
+        @Override public Kind kind() { return Kind.PROBE; }
+    }
+
     /** A box came, drains, is gone, was left out or taken back; {@code state} has the word. */
     record BoxChanged(long atMs, String box, String endpoint, String state, String why) implements Event {
         @Override public Kind kind() { return Kind.BOX; }
--- a/records/src/main/java/streamproxy/records/Shape.java
+++ b/records/src/main/java/streamproxy/records/Shape.java
@@ -35,8 +35,13 @@
         } else if (event instanceof Event.AttemptEnded e) {
             List<Told.Element> said = new Params().text(Names.ATTEMPT_ID, e.id()).count(Names.ATTEMPT_NUMBER, e.number())
                     .text(Names.ATTEMPT_BOX, e.tried().box()).text(Names.ATTEMPT_OUTCOME, e.tried().outcome())
-                    .text(Names.ATTEMPT_DECISION, e.tried().decision()).ms(Names.ATTEMPT_TOOK, e.tried().tookNs()).in("attempt");
+                    .text(Names.ATTEMPT_DECISION, e.tried().decision()).ms(Names.ATTEMPT_TOOK, e.tried().tookNs())
+                    .ms(Names.ATTEMPT_REPORT, e.reportNs()).in("attempt");
             return told(event, Told.INFO, said, "attempt " + e.number() + " at " + e.tried().box() + ": " + e.tried().outcome());
+        } else if (event instanceof Event.Probed e) {
+            List<Told.Element> said = new Params().text(Names.PROBE_BOX, e.box()).text(Names.PROBE_OUTCOME, e.outcome())
+                    .ms(Names.PROBE_TOOK, e.tookNs()).in("probe");
+            return told(event, Told.INFO, said, "probe of " + e.box() + ": " + e.outcome());
         } else if (event instanceof Event.BoxChanged e) {
             List<Told.Element> said = new Params().text(Names.BOX_ID, e.box()).text(Names.BOX_STATE, e.state())
                     .text(Names.BOX_ENDPOINT, e.endpoint()).text(Names.BOX_WHY, e.why()).in("box");
--- a/records/src/test/java/streamproxy/records/NamesTest.java
+++ b/records/src/test/java/streamproxy/records/NamesTest.java
@@ -22,7 +22,8 @@
         }
         return List.of(new Event.Answered(1000, "a1", "chat", "north", 7, Event.Final.SERVED, "s-1", "list", List.of(TRIED), 3_000_000_000L,
                         1_500_000, 100_000, 9_000_000, 20_000_000, 5, 3, 400, 250_000_000),
-                new Event.AttemptEnded(1000, "a1", 0, TRIED), new Event.BoxChanged(1000, "s-1", "127.0.0.1:80", "left_out", "failed"),
+                new Event.AttemptEnded(1000, "a1", 0, TRIED, 3_000_000), new Event.Probed(1000, "s-1", "ok", 2_000_000),
+                new Event.BoxChanged(1000, "s-1", "127.0.0.1:80", "left_out", "failed"),
                 new Event.ListChanged(1000, "full", 3, 3), new Event.Reloaded(1000, "line 3"), new Event.PhaseEntered(1000, "serving", "starting"),
                 new Event.QueueState(1000, "main", 5, dropped, 2, 1));
     }
--- a/records/src/test/java/streamproxy/syslog/DecisionsTest.java
+++ b/records/src/test/java/streamproxy/syslog/DecisionsTest.java
@@ -11,7 +11,7 @@
 /** What is decided without sockets: who is dropped, when a collector is tried again, which one is used. */
 class DecisionsTest {
     private static final long MS = 1_000_000L;
-    private static final Event ATTEMPT = new Event.AttemptEnded(0, "a", 0, new Event.Tried("s", "ok", "list", 1));
+    private static final Event ATTEMPT = new Event.AttemptEnded(0, "a", 0, new Event.Tried("s", "ok", "list", 1), -1);
     private static final Event ANSWER = new Event.Answered(0, "a", "chat", "", 0, Event.Final.SERVED, "", "", List.of(), 0, 0, 0, 0, 0, 0, 0, 0, 0);
     private static final Event REFUSAL = new Event.Answered(0, "a", "chat", "", 0, Event.Final.REFUSED, "", "", List.of(), 0, 0, 0, 0, 0, 0, 0, 0, 0);
     private static final Event DRAIN = new Event.BoxChanged(0, "s", "", "draining", "");
--- a/records/src/test/java/streamproxy/syslog/StandInCollector.java
+++ b/records/src/test/java/streamproxy/syslog/StandInCollector.java
@@ -35,11 +35,25 @@
     private volatile int closesAfterBytes;
     private volatile Semaphore allowed; // bytes that it may read; null for any number
 
+    /** One that comes back wants its old port, which a connection of some other program may hold for a moment. */
+    private void bind(int port) throws IOException {
+        for (int tries = 0; !server.isBound(); tries++) {
+            try {
+                server.bind(new java.net.InetSocketAddress(InetAddress.getByName(HOST), port), 50);
+            } catch (java.net.BindException e) {
+                if (tries == 3_000) {
+                    throw e;
+                }
+                java.util.concurrent.locks.LockSupport.parkNanos(10_000_000L);
+            }
+        }
+    }
+
     /** On TCP, or with a context on TLS; port 0 for any. */
     StandInCollector(int port, SSLContext context, boolean wantsClient) throws IOException {
         server = context == null ? new ServerSocket() : context.getServerSocketFactory().createServerSocket();
         server.setReuseAddress(true);
-        server.bind(new java.net.InetSocketAddress(InetAddress.getByName(HOST), port), 50);
+        bind(port);
         if (wantsClient) {
             ((javax.net.ssl.SSLServerSocket) server).setNeedClientAuth(true);
         }
--- a/router/src/main/java/streamproxy/routing/Attempt.java
+++ b/router/src/main/java/streamproxy/routing/Attempt.java
@@ -17,6 +17,7 @@
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.OUT);
     final String box; // its uid
     final Routing.Choice choice;
+    long reportNs; // the age of the report that its box was chosen by, negative where there was none
     TimerWheel.Timer timeOut; // the module's actor alone touches it, and the next three
     Routing.Outcome outcome;
     long tookNs = -1;
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -201,6 +201,9 @@
         } else if (message instanceof AttemptOver m) {
             attemptOver(m);
         } else if (message instanceof ProbeOver m) {
+            if (records.on()) {
+                records.probed(uid(m.box), m.outcome, m.afterNs);
+            }
             policy.on(now, new Routing.Probed(m.box, m.outcome, m.afterNs, m.report));
         } else if (message instanceof ListNews m) {
             listChange(m);
@@ -372,6 +375,7 @@
         }
         Attempt attempt = new Attempt(r, r.attempts.size(), replica, uid(replica), r.choice, now,
                 Math.min(now + Math.max(0, timeoutNs), r.deadlineAt));
+        attempt.reportNs = r.reportNs;
         r.attempts.add(attempt);
         boolean moot = r.answered() || attempt.number >= settings.limits().maxAttempts() || !known.containsKey(replica);
         if (moot || !boxes.send(attempt)) {
@@ -422,10 +426,11 @@
 
     @Override public void log(String line) { Logger.info(line); }
 
-    @Override public void chosen(long request, Routing.Choice why) {
+    @Override public void chosen(long request, Routing.Choice why, long reportAgeNs) {
         Request r = requests.get(request);
         if (r != null) {
             r.choice = why;
+            r.reportNs = reportAgeNs;
         }
     }
 
--- a/router/src/main/java/streamproxy/routing/Records.java
+++ b/router/src/main/java/streamproxy/routing/Records.java
@@ -59,7 +59,13 @@
 
     void ended(Attempt attempt) {
         if (to != null) {
-            to.accept(new Event.AttemptEnded(nowMs(), attempt.request.prompt.id(), attempt.number, tried(attempt)));
+            to.accept(new Event.AttemptEnded(nowMs(), attempt.request.prompt.id(), attempt.number, tried(attempt), attempt.reportNs));
+        }
+    }
+
+    void probed(String uid, Routing.Outcome outcome, long tookNs) {
+        if (to != null) {
+            to.accept(new Event.Probed(nowMs(), uid, outcome.name().toLowerCase(Locale.ROOT), tookNs));
         }
     }
 
--- a/router/src/main/java/streamproxy/routing/Request.java
+++ b/router/src/main/java/streamproxy/routing/Request.java
@@ -40,6 +40,7 @@
     TimerWheel.Timer deadline;
     int ended; // attempts whose outcome the module has
     Routing.Choice choice; // of the next attempt, or of the final answer
+    long reportNs = -1; // the age of the report that this choice went by
     /** Both the client's side and the module's must be done with it before it is a record. */
     private final AtomicInteger sides = new AtomicInteger(2);
     volatile End end; // the client's side alone sets it
--- a/router/src/test/java/streamproxy/stories/RecordsStories.java
+++ b/router/src/test/java/streamproxy/stories/RecordsStories.java
@@ -145,6 +145,8 @@
         assertEquals(told.keySet(), records.keySet());
         assertTrue("one each", records.values().stream().allMatch(n -> n == 1));
         assertEquals(List.of(), malformed);
+        assertFalse("probes are told", of("probe", f -> f.value("probe", "outcome").equals("ok")).isEmpty());
+        assertFalse("and how old the report was that a choice went by", of("attempt", f -> !f.value("attempt", "report_ms").isEmpty()).isEmpty());
         Found one = request("c3-7");
         assertEquals("served", one.value("request", "end"));
         assertEquals("chat", one.value("request", "class"));
