Let the stories of drained boxes fail where a drain is not heeded

Read again: all prompts of FleetStories were of one session, so that its boxes were drawn in one order, and a round of 12 prompts could pass by chance. With a router made to take every box for ready, two of the three stories passed still. Now each prompt has a session of its own, a round is 60 prompts, and the first story sees the box in use before it is told draining; its await had failed with that router already. Nothing is loosened.

--- a/router/src/test/java/streamproxy/stories/FleetStories.java
+++ b/router/src/test/java/streamproxy/stories/FleetStories.java
@@ -22,8 +22,10 @@
 
     private int asked;
 
+    /** Each of another session: those of one would all be drawn in the same order of boxes. */
     private void assertServed() throws Exception {
-        String answer = caller().send(Caller.prompt("a" + ++asked, "{}")).readTo(END);
+        String key = String.format("%016x", 0x9e3779b97f4a7c15L * ++asked);
+        String answer = caller().send(Caller.prompt("a" + asked, "{}").replace("7f3a9c21e0b4d655", key)).readTo(END);
         assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
     }
 
@@ -52,9 +54,10 @@
                 e.socket().close();
             });
             routerIn(deployment);
-            for (int i = 0; i < 5; i++) {
+            for (int i = 0; i < 40 && box.attempts.isEmpty(); i++) {
                 assertServed();
             }
+            assertFalse("it is used until it is told draining", box.attempts.isEmpty());
             List<Long> at = new ArrayList<>();
             await("it asks again and again", () -> calls.drainTo(at) >= 0 && at.size() >= 3);
             assertTrue("a pause before each", at.get(2) - at.get(0) > 2 * 125_000_000L);
@@ -76,7 +79,7 @@
     private void assertDrained(ScriptedBox box) throws Exception {
         await("it gets nothing more", () -> {
             int before = box.attempts.size();
-            for (int i = 0; i < 12; i++) {
+            for (int i = 0; i < 60; i++) { // so many that none of four boxes in use is left out by chance
                 assertServed();
             }
             return box.attempts.size() == before;
@@ -161,8 +164,8 @@
                     deployment.news.add(Deployment.told(2 + i, false, news.get(i)));
                 }
             }
-            for (ScriptedBox box : boxes) { // what went out before the news reached the router is the old one's still
-                await("its old connections end", () -> before.stream().allMatch(Socket::isClosed));
+            await("the old ones' connections end", () -> before.stream().allMatch(Socket::isClosed));
+            for (ScriptedBox box : boxes) { // what went out before the news reached the router was the old ones' still
                 box.attempts.clear();
             }
             for (int i = 0; boxes[0].attempts.isEmpty() || boxes[1].attempts.isEmpty() || boxes[2].attempts.isEmpty(); i++) {
