Listen with SO_REUSEPORT so that a second process can start beside the first

Rejected: handing the listening socket from the old process to the new one over a Unix socket; nobody comes to a Unix socket on the platform, and it would tie the two processes together.

Test: ProgramStories.aSecondProcessOnTheSameAddressServesBesideTheFirst starts two programs on one address; without the option the second ends with 3.

--- a/router/src/main/java/streamproxy/transport/Listener.java
+++ b/router/src/main/java/streamproxy/transport/Listener.java
@@ -38,6 +38,9 @@
         this.gate = gate;
         server = ServerSocketChannel.open();
         server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        if (server.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+            server.setOption(StandardSocketOptions.SO_REUSEPORT, true); // a new process starts beside the old one
+        }
         server.bind(at, BACKLOG);
     }
 
--- a/router/src/test/java/streamproxy/stories/ProgramStories.java
+++ b/router/src/test/java/streamproxy/stories/ProgramStories.java
@@ -80,6 +80,33 @@
         }
     }
 
+    /** A new process is started beside the running one on the same address, as in an upgrade; it used to exit with 3. */
+    @Test public void aSecondProcessOnTheSameAddressServesBesideTheFirst() throws Exception {
+        InetSocketAddress at = freeAddress();
+        try (ScriptedBox box = new ScriptedBox(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
+                Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
+            Process old = start(deployment.environment, "serve");
+            Process next = null;
+            try {
+                awaitReady(at, old);
+                next = start(deployment.environment, "serve");
+                old.destroy(); // SIGTERM: the old one leaves, the new one goes on alone
+                assertTrue(old.waitFor(15, TimeUnit.SECONDS));
+                awaitReady(at, next);
+                try (Caller caller = new Caller(at)) {
+                    String answer = caller.send(Caller.prompt("a1", "{}")).readTo("0\r\n\r\n");
+                    assertTrue(answer, answer.contains("data: hello\n\n"));
+                }
+                assertTrue("the new process still runs", next.isAlive());
+            } finally {
+                old.destroyForcibly();
+                if (next != null) {
+                    next.destroyForcibly();
+                }
+            }
+        }
+    }
+
     /** A new connection to the program, once it is ready. */
     private static Caller caller(InetSocketAddress at, Process program) throws Exception {
         awaitReady(at, program);
