Take the settings anew on SIGHUP: classes added and dropped, effects and attempts

Design: a reload builds the whole new Routing.Settings before anything changes (a missing key, attempts or a deadline not over 0, a cut or empty file: logged, and all stays, the box list's address too). The module's actor is told first (Policy.retune), then the names that clients may use are swapped (routing.Classes, one reference), so a request of a new class always reaches the actor after the new settings. The actor maps a request's class by its name; requests under way keep their class and no more attempts than they had. Routers' number, this one's place and the tenants stay as at the start. Rejected: a new Policy for the new settings; it would forget every box's queue, turns and reports at each reload.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -57,7 +57,7 @@
     private static final int DRAWN = 4; // from the zone that goes first, with two of the other beside them
     private static final double COLD_IN_TIME = 0.7; // the share of its time in which a prompt must be begun
 
-    private final Settings set;
+    private Settings set;
     private final RetryBudget retries;
     private final Actions out;
     private final SplittableRandom random;
@@ -113,6 +113,7 @@
         boolean begun;
         int token;
         int paid = 1;                // attempts that the budget has granted, the first is free
+        int attemptsMost;            // as the settings had it when it came
         long wakeAt = Long.MAX_VALUE;
         long probesUntil = -1;       // held for its probes until then
         final List<Rep> drawn = new ArrayList<>(3); // the candidates, nearest first
@@ -147,7 +148,7 @@
     private int tokens;
     private double probeBudget = PROBES_SAVED;
     private double meanPrompt = 1000;
-    private final double[] classWork; // prompt tokens asked for lately, by class
+    private double[] classWork; // prompt tokens asked for lately, by class
     private double backlog;          // share of the work to turn away for the sake of the rest
     private double meanUnread;
     private double meanHeld;
@@ -180,6 +181,22 @@
         out.timer(1 + random.nextLong(TICK), 0);
     }
 
+    /**
+     * Settings told anew bind from now on; requests under way keep their class and no more attempts
+     * than they were allowed. What was asked for lately stays with the names of the classes.
+     */
+    public void retune(Settings next) {
+        double[] work = new double[next.classes().size()];
+        for (int i = 0; i < work.length; i++) {
+            for (int j = 0; j < classWork.length; j++) {
+                boolean same = set.classes().get(j).name().equals(next.classes().get(i).name());
+                work[i] += same ? classWork[j] : 0;
+            }
+        }
+        set = next;
+        classWork = work;
+    }
+
     /** Takes one event; events come in order, {@code now} never goes back. */
     public void on(long now, Event event) {
         if (event instanceof Arrival e) {
@@ -433,6 +450,7 @@
         Req q = new Req();
         q.in = in;
         q.clazz = set.classes().get(in.clazz());
+        q.attemptsMost = set.limits().maxAttempts();
         q.aimAt = now + q.clazz.aimNs() + (long) (q.clazz.aimNsPerToken() * in.promptTokens());
         long deadline = now + in.budgetNs();
         long last = deadline - Math.max(set.rules().graceToAnswerNs(), in.budgetNs() / 100);
@@ -491,8 +509,8 @@
             return;
         }
         if (!q.out()) {
-            if (q.attempts.size() >= set.limits().maxAttempts() || !mayRepeat(now, q, null)
-                    || !paid(now, q)) {
+            int most = Math.min(q.attemptsMost, set.limits().maxAttempts());
+            if (q.attempts.size() >= most || !mayRepeat(now, q, null) || !paid(now, q)) {
                 answer(q, Choice.SPENT);
                 return;
             }
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 import org.tinylog.Logger;
 import streamproxy.limits.Admission;
 import streamproxy.limits.ComeBack;
@@ -12,6 +13,7 @@
 import streamproxy.protocol.OperatorFile;
 import streamproxy.protocol.NodeConfig.Unusable;
 import streamproxy.routing.BoxList;
+import streamproxy.routing.Classes;
 import streamproxy.routing.ClientConnections;
 import streamproxy.routing.Clock;
 import streamproxy.routing.ModelBoxes;
@@ -50,7 +52,9 @@
     private final Listener listener;
     private final OperatorCalls operatorCalls; // null where nobody calls
     private final NodeConfig config;
-    private final Routing.Settings settings;
+    private final Routing.Settings settings; // as at the start
+    private final AtomicReference<Classes> classes = new AtomicReference<>();
+    private Routing.Settings tuned; // as in force
     private final OperatorFile started;
     private final int heldMost;
     private final Budget heldBytes;
@@ -66,6 +70,7 @@
         Clock clock = new Clock();
         SettingsText text = new SettingsText(config.settings());
         settings = text.settings();
+        tuned = settings;
         known = known(config);
         ConnectionLimits limits = limits(config.sockets(), config.memoryMb(), operator);
         Budget boxPlaces = new Budget(limits.boxesMost());
@@ -82,11 +87,11 @@
         boxes.reportTo(module);
         list = new BoxList(config.discovery(), new Budget(LIST_CALLS), module);
         Routing.Limits may = settings.limits();
-        clients = new ClientConnections(new ClientConnections.Desk(module, clock,
-                settings.classes().stream().map(c -> c.name()).toList(), text.deployment().tenants(), bodyBytes,
+        classes.set(classes(text, settings, operator));
+        clients = new ClientConnections(new ClientConnections.Desk(module, clock, classes, text.deployment().tenants(), bodyBytes,
                 new TakenIds(), quiet, timers, () -> lifecycle.ready() && module.knowsBoxes(), lifecycle::leaving,
-                new ComeBack(config.seed()), may.retryAfter() ? may.maxRetryAfterNs() : 0, recording.records(),
-                text.deployment().silenceNs().stream().map(operator::stream).toList(), heldBytes), limits);
+                new ComeBack(config.seed()), may.retryAfter() ? may.maxRetryAfterNs() : 0, recording.records(), heldBytes),
+                limits);
         listener = new Listener(config.listen(), clients);
         operatorCalls = config.operator() == null ? null : new OperatorCalls(config.operator(), new OperatorCalls.Desk() {
             @Override public boolean health() { return lifecycle.serving() && module.knowsBoxes(); }
@@ -101,6 +106,27 @@
         });
     }
 
+    private static Classes classes(SettingsText text, Routing.Settings settings, OperatorFile operator) {
+        List<Long> silences = text.deployment().silenceNs();
+        if (silences.size() != settings.classes().size()) {
+            throw new IllegalArgumentException("the deployment's silences are not one for each class");
+        }
+        return new Classes(settings.classes().stream().map(c -> c.name()).toList(), silences.stream().map(operator::stream).toList());
+    }
+
+    /**
+     * The settings that a reload tells, whole, or an exception where they cannot be used. The number of routers, which
+     * this one is, and the tenants stay as at the start.
+     *
+     * @throws SettingsText.Missing     where one is missing or cannot be read
+     * @throws IllegalArgumentException where one is out of its range: a deadline or attempts not over 0
+     */
+    private Routing.Settings retuned(SettingsText text) {
+        Routing.Settings told = text.settings();
+        return new Routing.Settings(settings.me(), settings.gateways(), told.zone(), told.classes(), settings.tenants(),
+                told.overShareWorth(), told.reports(), told.listOnRequest(), told.rules(), told.limits(), told.prices());
+    }
+
     private static BoxEntry.News known(NodeConfig config) throws Unusable {
         try {
             return BoxEntry.news(config.known());
@@ -161,12 +187,20 @@
         lifecycle.reload(() -> {
             try {
                 NodeConfig.Again node = reload.node();
-                boolean otherNumbers = node.settings() != null && !hasItsNumbers(new SettingsText(node.settings()));
+                SettingsText text = node.settings() == null ? null : new SettingsText(node.settings());
+                Routing.Settings next = text == null ? tuned : retuned(text);
+                Classes nextClasses = text == null ? classes.get() : classes(text, next, started);
+                boolean otherNumbers = text != null && !hasItsNumbers(text);
                 OperatorFile operator = reload.operator();
                 ConnectionLimits wanted = limits(config.sockets(), config.memoryMb(), operator);
                 Recording.check(operator); // all that can be refused, before anything takes effect
                 limits = wanted;
                 clients.change(wanted);
+                if (!next.equals(tuned)) {
+                    tuned = next;
+                    module.retune(next); // before clients may name a new class
+                    classes.set(nextClasses);
+                }
                 list.moveTo(node.discovery());
                 if (otherNumbers) {
                     Logger.warn("reload: the number of routers, and which this one is, are as before until a restart");
@@ -177,7 +211,7 @@
                     }
                 }
                 recording.reloaded(operator);
-            } catch (Unusable | SettingsText.Missing e) {
+            } catch (Unusable | SettingsText.Missing | IllegalArgumentException e) {
                 recording.refused(e.getMessage());
                 Logger.error("reload: {}; the old configuration stays", e.getMessage());
             }
--- a/router/src/main/java/streamproxy/protocol/NodeConfig.java
+++ b/router/src/main/java/streamproxy/protocol/NodeConfig.java
@@ -52,15 +52,14 @@
      * The file that the environment names, read anew.
      *
      * @param discovery the box list's address, which a reload may move
-     * @param settings  as in {@link NodeConfig}; null where the file tells none
+     * @param settings  as in {@link NodeConfig}; a file without them cannot be used, but a caller may tell none (null)
      */
     public record Again(InetSocketAddress discovery, String settings) { }
 
     public static Again again(Map<String, String> environment) throws Unusable {
         Map<String, Object> config = file(environment);
         Object told = config.get("discovery");
-        return new Again(address("NODE_CONFIG: discovery", Json.string(told, "")),
-                config.containsKey("settings") ? settings(config) : null);
+        return new Again(address("NODE_CONFIG: discovery", Json.string(told, "")), settings(config));
     }
 
     private static String settings(Map<String, Object> config) throws Unusable {
--- a/router/src/main/java/streamproxy/routing/ClientConnections.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnections.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.tinylog.Logger;
 import streamproxy.limits.Admission;
@@ -9,7 +10,6 @@
 import streamproxy.limits.ConnectionLimits;
 import streamproxy.limits.Pace;
 import streamproxy.protocol.HttpWriter;
-import streamproxy.streams.StreamLimits;
 import streamproxy.transport.Budget;
 import streamproxy.transport.Connection;
 import streamproxy.transport.Listener;
@@ -24,14 +24,14 @@
     /**
      * What all clients' connections of the program share.
      *
-     * @param streams        what a stream of each class may do
+     * @param classes        those in force, which SIGHUP may change
      * @param heldBytes      what all answers together may hold for clients that are slow to read
      * @param records        whom to tell what became of requests
      * @param comeBackMostNs the longest wait that clients heed, in nanoseconds; 0 where they are told none
      */
-    public record Desk(ModuleActor module, Clock clock, List<String> classes, List<String> tenants, Budget bodyBytes,
+    public record Desk(ModuleActor module, Clock clock, AtomicReference<Classes> classes, List<String> tenants, Budget bodyBytes,
             TakenIds taken, QuietConnections quiet, Timers timers, BooleanSupplier ready, BooleanSupplier leaving,
-            ComeBack comeBack, long comeBackMostNs, Records records, List<StreamLimits> streams, Budget heldBytes) {
+            ComeBack comeBack, long comeBackMostNs, Records records, Budget heldBytes) {
         static String retryAfter(long ns) { return "Retry-After: " + String.format(Locale.ROOT, "%.3f", ns / SECOND); }
     }
 
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import org.tinylog.Logger;
+import streamproxy.streams.StreamLimits;
 import streamproxy.protocol.BadMessage;
 import streamproxy.protocol.EventStream;
 import streamproxy.protocol.HttpHead;
@@ -129,7 +130,8 @@
         }
         int size = reader.bodySize(head);
         PromptHeaders prompted = PromptHeaders.read(head);
-        int clazz = desk.classes().indexOf(prompted.clazz());
+        Classes classes = desk.classes().get();
+        int clazz = classes.names().indexOf(prompted.clazz());
         if (clazz < 0) {
             throw new BadMessage(400, "Req-Kind is unknown");
         }
@@ -139,13 +141,13 @@
             throw new BadMessage(503, "too much at once");
         }
         try {
-            return takeOn(head, prompted, clazz);
+            return takeOn(head, prompted, classes.streams().get(clazz));
         } finally {
             desk.bodyBytes().giveBack(size);
         }
     }
 
-    private boolean takeOn(HttpHead head, PromptHeaders prompted, int clazz) throws IOException, InterruptedException {
+    private boolean takeOn(HttpHead head, PromptHeaders prompted, StreamLimits streams) throws IOException, InterruptedException {
         if ("100-continue".equalsIgnoreCase(head.get("Expect"))) {
             writer.goOn();
         }
@@ -160,9 +162,9 @@
             desk.records().turnedAway(prompted, "taken_before");
             throw new BadMessage(409, "Req-Id is taken"); // a box would see a second copy of that request
         }
-        HeldAnswer held = new HeldAnswer(desk.streams().get(clazz), desk.heldBytes(), System.nanoTime());
+        HeldAnswer held = new HeldAnswer(streams, desk.heldBytes(), System.nanoTime());
         answer = held;
-        Request request = new Request(prompted, clazz, Math.max(0, desk.tenants().indexOf(prompted.tenant())),
+        Request request = new Request(prompted, Math.max(0, desk.tenants().indexOf(prompted.tenant())),
                 new PassedOn(head.method(), head.target(), prompted.id(), body), held, desk.clock().now());
         if (!desk.module().taken(request)) {
             desk.records().turnedAway(prompted, "mailbox_full");
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -44,6 +44,8 @@
 
     private record ProbeOver(long box, Outcome outcome, long afterNs, LoadReport report) implements Message { }
 
+    private record Retuned(Routing.Settings settings) implements Message { }
+
     private record ListNews(ListForm form, List<BoxEntry> boxes, List<String> kept) implements Message { }
 
     /** A timer that the module asked for. */
@@ -88,7 +90,7 @@
 
     private final Clock clock;
     private final SettingsText.Deployment deployment;
-    private final Routing.Settings settings;
+    private Routing.Settings settings;
     private final Boxes boxes;
     private final Policy policy;
     private final Map<Long, Request> requests = new HashMap<>();
@@ -135,6 +137,12 @@
     /** A client's request has come in; false where the router has no room for it. */
     public boolean taken(Request request) { return offer(new Taken(request)); }
 
+    /**
+     * Other settings from now on; requests under way keep their class. Told before clients may name its classes, so
+     * that a request of a new class comes after them.
+     */
+    public void retune(Routing.Settings next) { put(new Retuned(next)); }
+
     /** The client has left before its answer was whole. */
     public void left(Request request) { put(new Left(request)); }
 
@@ -209,6 +217,11 @@
             listChange(m);
         } else if (message instanceof Left m) {
             clientLeft(m.request);
+        } else if (message instanceof Retuned m) {
+            settings = m.settings;
+            policy.retune(m.settings);
+            Logger.info("settings told anew: classes {}, attempts {}", m.settings.classes().stream().map(c -> c.name()).toList(),
+                    m.settings.limits().maxAttempts());
         }
     }
 
@@ -218,8 +231,13 @@
         // The module answers before that; should it fail to, the client still gets its one answer in time.
         request.deadline = new Deadline(request);
         wheel.set(request.deadline, request.deadlineAt);
+        int clazz = classOf(request);
+        if (clazz < 0) {
+            fail(request.number); // at once, not at its deadline
+            return;
+        }
         try {
-            policy.on(now, new Routing.Arrival(request.number, request.clazz, request.tenant, request.prompt.key(),
+            policy.on(now, new Routing.Arrival(request.number, clazz, request.tenant, request.prompt.key(),
                     request.prompt.prefix(), request.prompt.promptTokens(), request.prompt.prefixTokens(),
                     request.prompt.mostTokens(), request.deadlineAt - now, -1, request.prompt.clientRetry()));
         } catch (RuntimeException e) {
@@ -228,6 +246,16 @@
         }
     }
 
+    /** The index of the request's class in the settings in force; -1 for one that they dropped meanwhile. */
+    private int classOf(Request request) {
+        for (int i = 0; i < settings.classes().size(); i++) {
+            if (settings.classes().get(i).name().equals(request.prompt.clazz())) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
     private void attemptOver(AttemptOver m) {
         Request request = m.attempt.request;
         if (m.attempt.timeOut != null) {
--- a/router/src/main/java/streamproxy/routing/Request.java
+++ b/router/src/main/java/streamproxy/routing/Request.java
@@ -15,7 +15,6 @@
     private static final int ANSWERED = -2;
 
     final PromptHeaders prompt;
-    final int clazz;
     final int tenant;
     final Client client;
     final long takenAt;
@@ -45,9 +44,8 @@
     private final AtomicInteger sides = new AtomicInteger(2);
     volatile End end; // the client's side alone sets it
 
-    public Request(PromptHeaders prompt, int clazz, int tenant, PassedOn passedOn, Client client, long takenAt) {
+    public Request(PromptHeaders prompt, int tenant, PassedOn passedOn, Client client, long takenAt) {
         this.prompt = prompt;
-        this.clazz = clazz;
         this.tenant = tenant;
         this.passedOn = passedOn;
         this.client = client;
--- a/router/src/test/java/streamproxy/routing/ModelBoxStories.java
+++ b/router/src/test/java/streamproxy/routing/ModelBoxStories.java
@@ -56,7 +56,7 @@
 
     private Attempt attempt(String id) {
         PromptHeaders prompt = new PromptHeaders(id, "c", "", 1, 4 * SECOND, 0, 10, 0, 10, false);
-        Request request = new Request(prompt, 0, 0, new PassedOn("POST", "/", id, new byte[2]), null, clock.now());
+        Request request = new Request(prompt, 0, new PassedOn("POST", "/", id, new byte[2]), null, clock.now());
         return new Attempt(request, 0, 7, "s-1", null, clock.now(), clock.now() + 4 * SECOND);
     }
 
