Name the key when a reloaded file has a deadline or attempts not over 0

Change: SettingsText.settings() checks each Classes.N.GiveUp and Limits.MaxAttempts first, and the reload's line says "reload: NODE_CONFIG: setting Classes.0.GiveUp: -1 is not over 0; the old configuration stays".

Test: SettingsStories.aBrokenFileLeavesTheOldSettingsWhole with GiveUp -1.

--- a/decision/src/main/java/streamproxy/decision/SettingsText.java
+++ b/decision/src/main/java/streamproxy/decision/SettingsText.java
@@ -28,8 +28,12 @@
         }
     }
 
-    /** The settings in the module's own terms. */
+    /** The settings in the module's own terms; each class's deadline and the attempts must be over 0. */
     public Routing.Settings settings() {
+        for (int i = 0; i < (int) need("Classes.count"); i++) {
+            over("Classes." + i + ".GiveUp");
+        }
+        over("Limits.MaxAttempts");
         List<Routing.RequestClass> classes = new ArrayList<>();
         int count = (int) need("Classes.count");
         String[] perThousand = list("Domain.AimUsPer1000PromptTokens");
@@ -136,6 +140,12 @@
         return text.isEmpty() ? new String[0] : text.split(",");
     }
 
+    private void over(String path) {
+        if (!(need(path) > 0)) {
+            throw new Missing(path, values.get(path) + " is not over 0");
+        }
+    }
+
     private double need(String path) {
         double value = number(values.get(path), Double.NaN);
         if (Double.isNaN(value)) {
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -212,8 +212,9 @@
                 }
                 recording.reloaded(operator);
             } catch (Unusable | SettingsText.Missing | IllegalArgumentException e) {
-                recording.refused(e.getMessage());
-                Logger.error("reload: {}; the old configuration stays", e.getMessage());
+                String why = e instanceof SettingsText.Missing ? "NODE_CONFIG: " + e.getMessage() : e.getMessage();
+                recording.refused(why);
+                Logger.error("reload: {}; the old configuration stays", why);
             }
         });
     }
--- a/router/src/test/java/streamproxy/stories/SettingsStories.java
+++ b/router/src/test/java/streamproxy/stories/SettingsStories.java
@@ -50,7 +50,7 @@
         deployment = routerOver(box(SERVES));
         tell(CHAT, AND_CHAT_II);
         // Each would drop chat-ii and move the box list, were it taken.
-        String[][] broken = {{"\"MaxAttempts\":3", "\"MaxAttempts\":0"}, {"\"GiveUp\":3000000000", "\"GiveUp\":0"},
+        String[][] broken = {{"\"MaxAttempts\":3", "\"MaxAttempts\":0"}, {"\"GiveUp\":3000000000", "\"GiveUp\":-1"},
             {"\"StopSendingWithin\":500000000,", ""}};
         int id = 0;
         for (String[] change : broken) {
