--- a/decision/src/main/java/streamproxy/decision/Routing.java
+++ b/decision/src/main/java/streamproxy/decision/Routing.java
@@ -74,11 +74,7 @@
 
     /** What a gateway may do here. */
     public record Limits(int maxAttempts, boolean secondCopies, boolean cancel, boolean probes,
-            boolean retryAfter, long maxRetryAfterNs) {
-        public Limits {
-            require(maxAttempts > 0, "maxAttempts");
-        }
-    }
+            boolean retryAfter, long maxRetryAfterNs) { }
 
     /** Prices, in shares of the whole result for each unit. */
     public record Prices(double waste, double probe, double crossZone, double handshake,
--- a/router/src/main/java/streamproxy/program/OperatorCalls.java
+++ b/router/src/main/java/streamproxy/program/OperatorCalls.java
@@ -56,9 +56,6 @@
 
     InetSocketAddress address() throws IOException { return listener.address(); }
 
-    /** Calls closed unanswered, since {@link #AT_ONCE} were under way. */
-    long unanswered() { return unanswered.get(); }
-
     @Override public long waitNs() { return 0; }
 
     @Override public void comes(Connection connection) {
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -107,11 +107,8 @@
     }
 
     private static Classes classes(SettingsText text, Routing.Settings settings, OperatorFile operator) {
-        List<Long> silences = text.deployment().silenceNs();
-        if (silences.size() != settings.classes().size()) {
-            throw new IllegalArgumentException("the deployment's silences are not one for each class");
-        }
-        return new Classes(settings.classes().stream().map(c -> c.name()).toList(), silences.stream().map(operator::stream).toList());
+        return new Classes(settings.classes().stream().map(c -> c.name()).toList(),
+                text.deployment().silenceNs().stream().map(operator::stream).toList());
     }
 
     /**
