Mend the standstill of the module: actors' mailboxes without locks or conditions

So the lines at fault are Actor.run's timed poll of a LinkedBlockingQueue: in Java 17 awaitNanos, once its time has run out, asks the clock again and again while a writer has taken the waiter's mark away (doSignal) but has not put it on the lock's queue yet (enqueue). It parks nowhere in that loop. A writer that is not run at that moment, as threads of a process take turns, is never run again.

Breadcrumbs on standard error hid it, as each write let the writer run.

Change: Mailbox, a bounded queue of one reader whose reader polls and parks and never waits for a writer that is in the middle of something. Rejected: JCTools' MpscArrayQueue (its poll turns while a writer is between claiming and filling a slot); Object.wait (whole ms, the module's ticks are 0.26 ms).

--- a/router/src/main/java/streamproxy/routing/Actor.java
+++ b/router/src/main/java/streamproxy/routing/Actor.java
@@ -1,22 +1,19 @@
 package streamproxy.routing;
 
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import streamproxy.transport.Threads;
 
 /** One thread and its bounded mailbox; all that the actor owns is touched by that thread alone. */
 abstract class Actor<M> {
-    static final long NEVER = Long.MAX_VALUE;
+    static final long NEVER = Mailbox.NEVER;
 
-    private final BlockingQueue<M> mailbox;
+    private final Mailbox<M> mailbox;
     private final String name;
     private volatile boolean stopped;
 
     Actor(String name, int bound) {
         this.name = name;
-        mailbox = new LinkedBlockingQueue<>(bound);
+        mailbox = new Mailbox<>(bound);
     }
 
     public final void start() { Threads.start(name, this::run); }
@@ -50,8 +47,7 @@
     private void run() {
         while (!stopped) {
             try {
-                long rest = restNs();
-                M message = rest == NEVER ? mailbox.take() : mailbox.poll(Math.max(0, rest), TimeUnit.NANOSECONDS);
+                M message = mailbox.take(restNs());
                 if (message != null) {
                     take(message);
                 }
