Watch the actors: who has not turned for 1 s is told once, with where its thread is

Need: a router that stood still told nobody which of its actors it was; it took a build of its own to find out. Nothing in service would have shown it either.

Change: each actor counts its turns and tells until when it rests; Watchdog looks every 250 ms and writes one log line and one record (standstill: who, state, for_ms, where) for an actor that has something to do and has not turned for 1 s, and one when it turns again. What decides is Turning, without clock or thread. Time in which the watchdog itself did not run (the process stopped, a long collection) is no actor's fault and is told as the process's. It acts on nothing.

Rejected: a time stamp on each message (a clock read on the request's path); a health call that waits for the module (it would stand still with it).

--- a/records/src/main/java/streamproxy/records/Event.java
+++ b/records/src/main/java/streamproxy/records/Event.java
@@ -13,7 +13,8 @@
     /** The kinds of records; their words are syslog's MSGIDs. */
     enum Kind {
         ATTEMPT(Rank.ATTEMPTS), ANSWER(Rank.ANSWERS), REFUSAL(Rank.REFUSALS), FAILURE(Rank.REFUSALS), BOX(Rank.STATE),
-        LIST(Rank.STATE), RELOAD(Rank.STATE), PHASE(Rank.STATE), QUEUE(Rank.STATE), PROBE(Rank.ATTEMPTS);
+        LIST(Rank.STATE), RELOAD(Rank.STATE), PHASE(Rank.STATE), QUEUE(Rank.STATE), PROBE(Rank.ATTEMPTS),
+        STANDSTILL(Rank.STATE);
 
         private final Rank rank;
 
@@ -108,6 +109,14 @@
         @Override public Kind kind() { return Kind.PHASE; }
     }
 
+    /**
+     * An actor, or the whole process, has not turned for so long, or turns again after so long; {@code where} is the top
+     * of its thread's stack, empty where that is not known.
+     */
+    record Standstill(long atMs, String who, boolean stands, long forNs, String where) implements Event {
+        @Override public Kind kind() { return Kind.STANDSTILL; }
+    }
+
     /**
      * What became of records on their way to a collector since its last such record.
      *
--- a/records/src/main/java/streamproxy/records/Shape.java
+++ b/records/src/main/java/streamproxy/records/Shape.java
@@ -58,6 +58,12 @@
         } else if (event instanceof Event.PhaseEntered e) {
             return told(event, Told.NOTICE, new Params().text(Names.PHASE_NAME, e.phase()).text(Names.PHASE_AFTER, e.after()).in("phase"),
                     e.phase() + " after " + e.after());
+        } else if (event instanceof Event.Standstill e) {
+            String state = e.stands() ? "stands" : "turns";
+            List<Told.Element> said = new Params().text(Names.STANDSTILL_WHO, e.who()).text(Names.STANDSTILL_STATE, state)
+                    .ms(Names.STANDSTILL_FOR, e.forNs()).text(Names.STANDSTILL_WHERE, e.where()).in("standstill");
+            return told(event, Told.WARNING, said, e.who() + (e.stands() ? " stood still for " : " turns again after ") + millis(e.forNs())
+                    + " ms");
         }
         return queue((Event.QueueState) event);
     }
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -21,6 +21,7 @@
 import streamproxy.decision.Routing;
 import streamproxy.decision.SettingsText;
 import streamproxy.routing.TakenIds;
+import streamproxy.routing.Watchdog;
 import streamproxy.syslog.Syslog;
 import streamproxy.transport.Budget;
 import streamproxy.transport.Listener;
@@ -46,6 +47,7 @@
     private final QuietConnections quiet;
     private final Timers timers = new Timers();
     private final ClientConnections clients;
+    private final Watchdog watchdog;
     private final ModuleActor module;
     private final BoxList list;
     private final BoxEntry.News known;
@@ -66,6 +68,7 @@
     public Router(NodeConfig config, OperatorFile operator) throws IOException, Unusable {
         this.config = config;
         recording = Recording.of(operator, config.seed());
+        watchdog = new Watchdog(recording.records());
         lifecycle = new Lifecycle(recording::phase);
         Clock clock = new Clock();
         SettingsText text = new SettingsText(config.settings());
@@ -81,7 +84,7 @@
         heldMost = held(operator);
         heldBytes = new Budget(heldMost);
         ModelBoxes boxes = new ModelBoxes(new ModelBoxes.Desk(text.deployment(), text.reportLayout(), boxPlaces, clock, quiet,
-                () -> this.limits));
+                () -> this.limits, watchdog));
         module = new ModuleActor(text, config.seed(), clock, boxes, recording.records(), operator.retries(clock.now()),
                 operator.stalls());
         boxes.reportTo(module);
@@ -151,8 +154,9 @@
 
     public void start() {
         recording.start();
-        list.startFrom(known);
-        module.start();
+        list.startFrom(known, watchdog);
+        module.start(watchdog);
+        watchdog.start();
         quiet.start();
         timers.start();
         listener.start();
--- a/router/src/main/java/streamproxy/routing/Actor.java
+++ b/router/src/main/java/streamproxy/routing/Actor.java
@@ -6,22 +6,38 @@
 /** One thread and its bounded mailbox; all that the actor owns is touched by that thread alone. */
 abstract class Actor<M> {
     static final long NEVER = Mailbox.NEVER;
+    private static final long AT_WORK = Long.MIN_VALUE;
 
     private final Mailbox<M> mailbox;
     private final String name;
     private volatile boolean stopped;
+    // The actor alone writes these, for its watchdog.
+    private volatile Thread thread;
+    private volatile long turns;
+    private volatile long restsUntil = NEVER; // by System.nanoTime, or AT_WORK
 
     Actor(String name, int bound) {
         this.name = name;
         mailbox = new Mailbox<>(bound);
     }
 
-    public final void start() { Threads.start(name, this::run); }
+    /** Starts its thread, under that watch. */
+    public final void start(Watchdog watchdog) {
+        watchdog.watch(this);
+        Threads.start(name, () -> {
+            thread = Thread.currentThread();
+            try {
+                run();
+            } finally {
+                watchdog.ended(this);
+            }
+        });
+    }
 
     /** The actor's thread ends after the message it is at. */
     final void stop() { stopped = true; }
 
-    /** Leaves a message without waiting; false where the mailbox is full. */
+    /** Leaves a message without waiting; false, and counted, where the mailbox is full. */
     final boolean offer(M message) { return mailbox.offer(message); }
 
     final boolean isEmpty() { return mailbox.isEmpty(); }
@@ -44,10 +60,34 @@
     /** How long the actor may wait for its next message. */
     abstract long restNs();
 
+    // ---- What its watchdog asks ---------------------------------------------------------------------
+
+    /** How many turns it has taken. */
+    final long turns() { return turns; }
+
+    /** Whether it is at work, has messages, or has rested for as long as it wanted to. */
+    final boolean isDue(long now) {
+        long until = restsUntil;
+        return until == AT_WORK || !mailbox.isEmpty() || until != NEVER && now - until > 0;
+    }
+
+    /** Null before it has one. */
+    final Thread thread() { return thread; }
+
+    final long turnedAway() { return mailbox.turnedAway(); }
+
+    @Override public final String toString() { return name; }
+
     private void run() {
         while (!stopped) {
             try {
-                M message = mailbox.take(restNs());
+                long rest = restNs();
+                if (rest > 0) {
+                    restsUntil = rest == NEVER ? NEVER : System.nanoTime() + rest;
+                }
+                M message = mailbox.take(rest);
+                restsUntil = AT_WORK;
+                turns++;
                 if (message != null) {
                     take(message);
                 }
--- a/router/src/main/java/streamproxy/routing/BoxList.java
+++ b/router/src/main/java/streamproxy/routing/BoxList.java
@@ -69,11 +69,11 @@
     public void moveTo(InetSocketAddress address) { put(new Moved(address)); }
 
     /** Starts from the list as this router had it last, which may be old. */
-    public void startFrom(BoxEntry.News known) {
+    public void startFrom(BoxEntry.News known, Watchdog watchdog) {
         version = OptionalLong.of(known.version());
         logFaults(known);
         module.listNews(ListForm.CACHED, known.boxes(), known.kept());
-        start();
+        start(watchdog);
     }
 
     @Override void take(Message message) {
--- a/router/src/main/java/streamproxy/routing/ModelBoxes.java
+++ b/router/src/main/java/streamproxy/routing/ModelBoxes.java
@@ -22,10 +22,10 @@
      * @param open   the boxes themselves, any of which may be asked to give up a connection that it has no use for now
      */
     public record Desk(SettingsText.Deployment deployment, ReportLayout layout, Budget budget, Clock clock,
-            QuietConnections quiet, Supplier<ConnectionLimits> limits, Set<ModelBox> open) {
+            QuietConnections quiet, Supplier<ConnectionLimits> limits, Set<ModelBox> open, Watchdog watchdog) {
         public Desk(SettingsText.Deployment deployment, ReportLayout layout, Budget budget, Clock clock, QuietConnections quiet,
-                Supplier<ConnectionLimits> limits) {
-            this(deployment, layout, budget, clock, quiet, limits, ConcurrentHashMap.newKeySet());
+                Supplier<ConnectionLimits> limits, Watchdog watchdog) {
+            this(deployment, layout, budget, clock, quiet, limits, ConcurrentHashMap.newKeySet(), watchdog);
         }
     }
 
@@ -43,7 +43,7 @@
         if (box == null) {
             box = new ModelBox(id, entry, desk, module);
             byId.put(id, box);
-            box.start();
+            box.start(desk.watchdog);
         }
         box.told(entry, ready);
     }
--- a/router/src/main/java/streamproxy/routing/Records.java
+++ b/router/src/main/java/streamproxy/routing/Records.java
@@ -75,6 +75,12 @@
         }
     }
 
+    void standstill(String who, boolean stands, long forNs, String where) {
+        if (to != null) {
+            to.accept(new Event.Standstill(nowMs(), who, stands, forNs, where));
+        }
+    }
+
     void list(Routing.ListForm form, int named, int known) {
         if (to != null) {
             to.accept(new Event.ListChanged(nowMs(), form.name().toLowerCase(Locale.ROOT), named, known));
--- a/router/src/test/java/streamproxy/routing/ModelBoxStories.java
+++ b/router/src/test/java/streamproxy/routing/ModelBoxStories.java
@@ -51,7 +51,7 @@
         QuietConnections quiet = new QuietConnections();
         quiet.start();
         return new ModelBoxes.Desk(text.deployment(), text.reportLayout(), new Budget(allMost), clock, quiet,
-                () -> limits);
+                () -> limits, new Watchdog(Records.NONE));
     }
 
     private Attempt attempt(String id) {
@@ -75,7 +75,7 @@
         BoxEntry entry = new BoxEntry("s-1", (InetSocketAddress) server.getLocalSocketAddress(), "", "", 0, "ready", 1, 0);
         ModelBox box = new ModelBox(7, entry, desk, module);
         box.told(entry, true);
-        box.start();
+        box.start(desk.watchdog());
         return box;
     }
 
@@ -160,7 +160,7 @@
             ModelBox box = new ModelBox(7, entry, desk, module);
             long usual = box.keepNs();
             box.told(entry, true);
-            box.start();
+            box.start(desk.watchdog());
             assertTrue(box.probe());
             try (Socket first = server.accept()) {
                 first.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".getBytes());
@@ -199,7 +199,7 @@
             Attempt waiting = attempt("early");
             assertTrue(box.send(waiting));
             box.told(entry, false);
-            box.start();
+            box.start(desk.watchdog());
             try (Socket unused = server.accept()) {
                 await("it is over", waiting::isOver);
                 unused.setSoTimeout(10_000);
