Keep a connection whose request has just begun to come from being closed for another

Seen: Admission.asks threw "not idle" for a connection that the quiet watch handed over after a restart (docs/ops.md). Found by reading: ClientConnection.arrived set READING first and only then told the admission; in between makeRoom could choose it as a waiting one, and spare() closed it since READING may be spared. The admission had counted it out when asks came: the exception, and a request lost whose first byte had been seen.

Ruled out: a second watch of one connection (rests adds it after the admission knows), and turnAway (ends later, on the same thread).

Change: a phase ASKING between the two; nobody spares it. Test: the watch is held at asks by the monitor of whoever makes room, which then looks for room; without the change it closes the connection (1 spared instead of 0).

--- a/router/src/main/java/streamproxy/routing/ClientConnection.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnection.java
@@ -12,8 +12,11 @@
  * first byte of a request it gets an {@link Exchange}, which has them, until the answer's last.
  */
 final class ClientConnection extends Admission.Guest implements QuietConnections.Owner {
-    /** What the connection is at: it may be spared while it WAITS for a request, hardly while one is being READ. */
-    private enum Phase { WAITING, READING, IN_WORK, OVER }
+    /**
+     * What the connection is at: it may be spared while it WAITS for a request, hardly while one is being READ. While it
+     * is ASKING the admission still counts it as waiting, and whoever chose it by that must leave it alone.
+     */
+    private enum Phase { WAITING, ASKING, READING, IN_WORK, OVER }
 
     private static final AtomicReferenceFieldUpdater<ClientConnection, Phase> PHASE =
             AtomicReferenceFieldUpdater.newUpdater(ClientConnection.class, Phase.class, "phase");
@@ -61,13 +64,14 @@
     }
 
     @Override public void arrived() {
-        if (!enter(Phase.WAITING, Phase.READING)) {
+        if (!enter(Phase.WAITING, Phase.ASKING)) {
             return; // spared meanwhile, and closed
         }
         if (!all.asks(this)) {
             turnAway();
             return;
         }
+        phase = Phase.READING;
         try {
             Exchange exchange = new Exchange(this, connection, all.desk());
             Threads.start("client", exchange::serve);
