--- a/router/src/test/java/streamproxy/LayersTest.java
+++ b/router/src/test/java/streamproxy/LayersTest.java
@@ -16,7 +16,7 @@
 
 /** Each layer uses only those below it, and what decides uses none of them. */
 class LayersTest {
-    private static final List<String> DECIDING = List.of("decision", "limits", "timing", "streams");
+    private static final List<String> DECIDING = List.of("decision", "duties", "limits", "timing", "streams");
     private static final Map<String, List<String>> BELOW = Map.of(
             "transport", List.of("timing"),
             "protocol", List.of("transport", "limits", "syslog", "streams"),
