Add the fleet module: daemons with an embedded consensus, fenced duties, and their rig

Routers could agree on nothing.

Rejected: ordered asynchronous sends of the library (one that fails fails those behind it); leases renewed through the leader alone.

--- /dev/null
+++ b/fleet/src/main/java/streamproxy/fleet/Codec.java
@@ -0,0 +1,164 @@
+package streamproxy.fleet;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import streamproxy.duties.Command;
+import streamproxy.duties.Duty;
+import streamproxy.duties.Ledger;
+import streamproxy.duties.Member;
+import streamproxy.duties.Result;
+import streamproxy.duties.Terms;
+import streamproxy.fleet.wire.AnswerRecord;
+import streamproxy.fleet.wire.CommandRecord;
+import streamproxy.fleet.wire.DepartRecord;
+import streamproxy.fleet.wire.DutyRecord;
+import streamproxy.fleet.wire.GrantedRecord;
+import streamproxy.fleet.wire.HandOnRecord;
+import streamproxy.fleet.wire.ImageRecord;
+import streamproxy.fleet.wire.MemberRecord;
+import streamproxy.fleet.wire.OpenRecord;
+import streamproxy.fleet.wire.ReleaseRecord;
+import streamproxy.fleet.wire.RenewRecord;
+import streamproxy.fleet.wire.ResultRecord;
+import streamproxy.fleet.wire.TakeRecord;
+import streamproxy.fleet.wire.TermsRecord;
+
+/** Commands, results and images of the ledger as records of {@code ledger.proto}, each with the schema's version. */
+final class Codec {
+    /** What cannot be read: spoilt, or written by a newer program. */
+    static final class Unreadable extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Unreadable(String why) { super(why); }
+    }
+
+    /** The schema's version; a record with a higher one is not read. */
+    static final int VERSION = 1;
+
+    private Codec() { }
+
+    static byte[] bytes(Command command) {
+        Command.From from = command.from();
+        CommandRecord.Builder record = CommandRecord.newBuilder().setVersion(VERSION).setMember(from.member()).setSession(from.session())
+                .setNumber(from.number());
+        if (command instanceof Command.Open c) {
+            record.setOpen(OpenRecord.newBuilder().setFolder(c.folder()).setStart(c.start()).setTerms(terms(c.terms())).setReplace(c.replace()));
+        } else if (command instanceof Command.Depart c) {
+            record.setDepart(DepartRecord.newBuilder().setWho(c.who()));
+        } else if (command instanceof Command.Take c) {
+            record.setTake(TakeRecord.newBuilder().setDuty(c.duty()).setFence(c.fence()).setRenewals(c.renewals()));
+        } else if (command instanceof Command.Renew c) {
+            record.setRenew(RenewRecord.newBuilder().setDuty(c.duty()).setFence(c.fence()));
+        } else if (command instanceof Command.Release c) {
+            record.setRelease(ReleaseRecord.newBuilder().setDuty(c.duty()).setFence(c.fence()).setNext(c.next()));
+        } else if (command instanceof Command.HandOn c) {
+            record.setHandOn(HandOnRecord.newBuilder().setDuty(c.duty()).setTo(c.to()));
+        }
+        return record.build().toByteArray();
+    }
+
+    static Command command(byte[] bytes) throws Unreadable {
+        try {
+            CommandRecord r = CommandRecord.parseFrom(bytes);
+            checkVersion(r.getVersion());
+            Command.From from = new Command.From(r.getMember(), r.getSession(), r.getNumber());
+            return switch (r.getWhatCase()) {
+                case OPEN -> new Command.Open(from, r.getOpen().getFolder(), r.getOpen().getStart(), terms(r.getOpen().getTerms()),
+                        r.getOpen().getReplace());
+                case DEPART -> new Command.Depart(from, r.getDepart().getWho());
+                case TAKE -> new Command.Take(from, r.getTake().getDuty(), r.getTake().getFence(), r.getTake().getRenewals());
+                case RENEW -> new Command.Renew(from, r.getRenew().getDuty(), r.getRenew().getFence());
+                case RELEASE -> new Command.Release(from, r.getRelease().getDuty(), r.getRelease().getFence(), r.getRelease().getNext());
+                case HAND_ON -> new Command.HandOn(from, r.getHandOn().getDuty(), r.getHandOn().getTo());
+                case WHAT_NOT_SET -> throw new Unreadable("a command of no known kind");
+            };
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            throw new Unreadable("a command that cannot be read: " + e.getMessage());
+        }
+    }
+
+    static byte[] bytes(Result result) { return record(result).toByteArray(); }
+
+    static Result result(byte[] bytes) throws Unreadable {
+        try {
+            return result(ResultRecord.parseFrom(bytes));
+        } catch (InvalidProtocolBufferException e) {
+            throw new Unreadable("a result that cannot be read: " + e.getMessage());
+        }
+    }
+
+    static byte[] bytes(Ledger.Image image) {
+        ImageRecord.Builder record = ImageRecord.newBuilder().setVersion(VERSION).setEpoch(image.epoch());
+        if (image.terms() != null) {
+            record.setTerms(terms(image.terms()));
+        }
+        for (Member m : image.members()) {
+            record.addMembers(MemberRecord.newBuilder().setName(m.name()).setFolder(m.folder()).setStart(m.start()).setSession(m.session())
+                    .setSince(m.since()));
+        }
+        for (Duty d : image.duties()) {
+            record.addDuties(DutyRecord.newBuilder().setName(d.name()).setHolder(d.holder()).setSession(d.session()).setFence(d.fence())
+                    .setRenewals(d.renewals()).setNext(d.next()).setLeaving(d.leaving()));
+        }
+        for (Ledger.Answer a : image.answers()) {
+            record.addAnswers(AnswerRecord.newBuilder().setMember(a.member()).setSession(a.session()).setNumber(a.number())
+                    .setResult(record(a.result())));
+        }
+        return record.build().toByteArray();
+    }
+
+    static Ledger.Image image(byte[] bytes) throws Unreadable {
+        try {
+            ImageRecord r = ImageRecord.parseFrom(bytes);
+            checkVersion(r.getVersion());
+            List<Ledger.Answer> answers = new ArrayList<>();
+            for (AnswerRecord a : r.getAnswersList()) {
+                answers.add(new Ledger.Answer(a.getMember(), a.getSession(), a.getNumber(), result(a.getResult())));
+            }
+            return new Ledger.Image(r.hasTerms() ? terms(r.getTerms()) : null, r.getEpoch(),
+                    r.getMembersList().stream().map(m -> new Member(m.getName(), m.getFolder(), m.getStart(), m.getSession(), m.getSince())).toList(),
+                    r.getDutiesList().stream().map(d -> new Duty(d.getName(), d.getHolder(), d.getSession(), d.getFence(), d.getRenewals(),
+                            d.getNext(), d.getLeaving())).toList(), answers);
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            throw new Unreadable("an image that cannot be read: " + e.getMessage());
+        }
+    }
+
+    private static ResultRecord record(Result result) {
+        ResultRecord.Builder record = ResultRecord.newBuilder().setVersion(VERSION);
+        if (result instanceof Result.Granted g) {
+            return record.setGranted(GrantedRecord.newBuilder().setFence(g.fence()).setClean(g.clean())).build();
+        }
+        return result instanceof Result.Refused r ? record.setRefused(r.why().ordinal()).build() : record.setDone(true).build();
+    }
+
+    private static Result result(ResultRecord r) throws Unreadable {
+        checkVersion(r.getVersion());
+        Result.Why[] whys = Result.Why.values();
+        return switch (r.getWhatCase()) {
+            case DONE -> new Result.Done();
+            case GRANTED -> new Result.Granted(r.getGranted().getFence(), r.getGranted().getClean());
+            case REFUSED -> {
+                if (r.getRefused() < 0 || r.getRefused() >= whys.length) {
+                    throw new Unreadable("a refusal of no known kind: " + r.getRefused());
+                }
+                yield new Result.Refused(whys[r.getRefused()]);
+            }
+            case WHAT_NOT_SET -> throw new Unreadable("a result of no known kind");
+        };
+    }
+
+    private static TermsRecord terms(Terms terms) {
+        return TermsRecord.newBuilder().setLeaseNs(terms.leaseNs()).setDriftPpm(terms.driftPpm()).setActNs(terms.actNs()).build();
+    }
+
+    private static Terms terms(TermsRecord r) { return new Terms(r.getLeaseNs(), r.getDriftPpm(), r.getActNs()); }
+
+    private static void checkVersion(int version) throws Unreadable {
+        if (version < 1 || version > VERSION) {
+            throw new Unreadable("a record of schema " + version + ", and this program knows up to " + VERSION);
+        }
+    }
+
+}
--- /dev/null
+++ b/fleet/src/main/java/streamproxy/fleet/Ensemble.java
@@ -0,0 +1,160 @@
+package streamproxy.fleet;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.apache.ratis.RaftConfigKeys;
+import org.apache.ratis.client.RaftClient;
+import org.apache.ratis.client.RaftClientConfigKeys;
+import org.apache.ratis.conf.RaftProperties;
+import org.apache.ratis.netty.NettyConfigKeys;
+import org.apache.ratis.proto.RaftProtos.RaftPeerRole;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientReply;
+import org.apache.ratis.protocol.RaftGroup;
+import org.apache.ratis.protocol.RaftGroupId;
+import org.apache.ratis.protocol.RaftPeer;
+import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.retry.RetryPolicies;
+import org.apache.ratis.rpc.SupportedRpcType;
+import org.apache.ratis.server.DivisionInfo;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.RaftServerConfigKeys;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.apache.ratis.util.SizeInBytes;
+import org.apache.ratis.util.TimeDuration;
+import org.tinylog.Logger;
+import streamproxy.duties.Command;
+import streamproxy.duties.Ledger;
+import streamproxy.duties.Result;
+
+/**
+ * This member's part in the consensus: the library's server with the {@link LedgerMachine} on it, and its client. What is
+ * sent is answered on a thread of its own, or not at all: whoever sends asks again.
+ */
+final class Ensemble implements AutoCloseable {
+    /** Told what a command was answered; not told where it was not, as far as is known here. */
+    interface Answered {
+        void answered(Command command, Result result);
+    }
+
+    private static final int SENDERS = 4;
+    private static final int WAITING_MOST = 256;
+    private static final TimeDuration REQUEST = ms(1_000);
+    /** An election begins when the leader was silent for so long; the library draws between the two. */
+    private static final TimeDuration ELECTION_LEAST = ms(300);
+    private static final TimeDuration ELECTION_MOST = ms(600);
+    private static final long SNAPSHOT_EVERY = 20_000;
+    private static final int SNAPSHOTS_KEPT = 2;
+    private static final SizeInBytes SEGMENT = SizeInBytes.valueOf("4MB");
+    private static final SizeInBytes PREALLOCATED = SizeInBytes.valueOf("256KB");
+
+    private final RaftGroup group;
+    private final RaftServer server;
+    private final RaftClient client;
+    private final LedgerMachine machine;
+    private final ThreadPoolExecutor senders;
+    private final AtomicLong unsent = new AtomicLong();
+
+    /** @param applied is told of each change of the ledger, as {@link LedgerMachine} says */
+    Ensemble(FleetSettings settings, Folder folder, Consumer<Ledger> applied) throws IOException {
+        List<RaftPeer> peers = new ArrayList<>();
+        for (Map.Entry<String, InetSocketAddress> member : settings.members().entrySet()) {
+            boolean votes = settings.voters().contains(member.getKey());
+            peers.add(RaftPeer.newBuilder().setId(member.getKey())
+                    .setAddress(member.getValue().getHostString() + ":" + member.getValue().getPort())
+                    .setStartupRole(votes ? RaftPeerRole.FOLLOWER : RaftPeerRole.LISTENER).build());
+        }
+        RaftGroupId id = RaftGroupId.valueOf(UUID.nameUUIDFromBytes(settings.id().getBytes(StandardCharsets.UTF_8)));
+        group = RaftGroup.valueOf(id, peers);
+        machine = new LedgerMachine(applied);
+        RaftProperties properties = properties(settings, folder);
+        server = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(settings.name())).setGroup(group).setStateMachine(machine)
+                .setOption(folder.fresh() ? RaftStorage.StartupOption.FORMAT : RaftStorage.StartupOption.RECOVER)
+                .setProperties(properties).build();
+        client = RaftClient.newBuilder().setRaftGroup(group).setProperties(properties)
+                .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(3, ms(100))).build();
+        senders = new ThreadPoolExecutor(SENDERS, SENDERS, 5, TimeUnit.SECONDS, new ArrayBlockingQueue<>(WAITING_MOST), work -> {
+            Thread thread = new Thread(null, work, "fleet sender", 256 * 1024);
+            thread.setDaemon(true);
+            return thread;
+        });
+        senders.allowCoreThreadTimeOut(true);
+    }
+
+    private static TimeDuration ms(long ms) { return TimeDuration.valueOf(ms, TimeUnit.MILLISECONDS); }
+
+    private static RaftProperties properties(FleetSettings settings, Folder folder) {
+        RaftProperties p = new RaftProperties();
+        RaftConfigKeys.Rpc.setType(p, SupportedRpcType.NETTY);
+        NettyConfigKeys.Server.setHost(p, settings.listen().getHostString());
+        NettyConfigKeys.Server.setPort(p, settings.listen().getPort());
+        RaftServerConfigKeys.setStorageDir(p, List.of(folder.path().resolve("log").toFile()));
+        RaftServerConfigKeys.Rpc.setTimeoutMin(p, ELECTION_LEAST);
+        RaftServerConfigKeys.Rpc.setTimeoutMax(p, ELECTION_MOST);
+        RaftServerConfigKeys.Rpc.setRequestTimeout(p, REQUEST);
+        RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(p, true);
+        RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(p, SNAPSHOT_EVERY);
+        RaftServerConfigKeys.Snapshot.setRetentionFileNum(p, SNAPSHOTS_KEPT);
+        RaftServerConfigKeys.Log.setSegmentSizeMax(p, SEGMENT);
+        RaftServerConfigKeys.Log.setPreallocatedSize(p, PREALLOCATED);
+        RaftServerConfigKeys.Log.setPurgeUptoSnapshotIndex(p, true);
+        RaftClientConfigKeys.Rpc.setRequestTimeout(p, REQUEST);
+        return p;
+    }
+
+    void start() throws IOException { server.start(); }
+
+    /** Sends a command without waiting; one for which there is no room is dropped and counted. */
+    void send(Command command, Answered then) {
+        try {
+            senders.execute(() -> {
+                try {
+                    RaftClientReply reply = client.io().send(Message.valueOf(ByteString.copyFrom(Codec.bytes(command))));
+                    if (reply.isSuccess()) {
+                        then.answered(command, Codec.result(reply.getMessage().getContent().toByteArray()));
+                    }
+                } catch (IOException e) {
+                    Logger.debug("fleet: {} was not answered: {}", command, e.getMessage());
+                } catch (Codec.Unreadable e) {
+                    Logger.warn("fleet: {}", e.getMessage());
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            unsent.incrementAndGet();
+        }
+    }
+
+    /** Commands for which there was no room. */
+    long unsent() { return unsent.get(); }
+
+    Ledger.Image image() { return machine.image(); }
+
+    /** Why this member follows the common log no further; null where it does. */
+    String stuck() { return machine.stuck(); }
+
+    /** The member that leads, as far as is known here; empty where none is known. */
+    String leader() throws IOException {
+        RaftPeerId leader = info().getLeaderId();
+        return leader == null ? "" : leader.toString();
+    }
+
+    DivisionInfo info() throws IOException { return server.getDivision(group.getGroupId()).getInfo(); }
+
+    @Override public void close() throws IOException {
+        senders.shutdownNow();
+        client.close();
+        server.close();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/streamproxy/fleet/FleetMain.java
@@ -0,0 +1,56 @@
+package streamproxy.fleet;
+
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import streamproxy.program.Daemon;
+import streamproxy.protocol.OperatorFile;
+import streamproxy.protocol.OperatorReader;
+
+/** Command-line entry of routers that talk to each other. */
+@Command(name = "streamproxy", mixinStandardHelpOptions = true,
+        description = "Runs a router as a member of its fleet.", subcommands = FleetMain.Run.class,
+        footer = {"", "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 a configuration that cannot be used.", "", "Example:",
+                "  streamproxy daemon --operator /etc/streamproxy/r0.ini"})
+final class FleetMain implements Callable<Integer> {
+    private FleetMain() { }
+
+    public static void main(String[] words) {
+        CommandLine line = new CommandLine(new FleetMain());
+        line.setExecutionExceptionHandler((e, command, parsed) -> {
+            String unusable = Daemon.unusable(e);
+            if (unusable == null) {
+                throw e;
+            }
+            command.getErr().println(unusable);
+            return Daemon.UNUSABLE;
+        });
+        System.exit(line.execute(words));
+    }
+
+    @Override public Integer call() {
+        CommandLine.usage(this, System.err);
+        return CommandLine.ExitCode.USAGE;
+    }
+
+    /** {@code daemon}. */
+    @Command(name = "daemon", mixinStandardHelpOptions = true,
+            description = {"Runs one router in the foreground, as serve does, and as a member of the fleet that [fleet] of the operator's",
+                    "file tells of. Without a majority it serves alone and holds no duty."},
+            footer = {"", "Exit codes: 0 after SIGTERM, 2 wrong usage, 3 a configuration that cannot be used.", "", "Example:",
+                    "  streamproxy daemon --operator /etc/streamproxy/r0.ini"})
+    static final class Run implements Callable<Integer> {
+        @Option(names = "--operator", required = true, paramLabel = "FILE", description = "The operator's file (INI), with [fleet].")
+        private String operator;
+
+        @Override public Integer call() throws Exception {
+            Map<String, String> told = System.getenv();
+            OperatorFile file = OperatorReader.read(operator);
+            FleetNode node = new FleetNode(FleetSettings.read(file, told.get("NODE_NAME")));
+            node.start();
+            return Daemon.run(() -> OperatorReader.read(operator), node);
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/streamproxy/fleet/LedgerMachine.java
@@ -0,0 +1,141 @@
+package streamproxy.fleet;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.zip.CRC32C;
+import org.apache.ratis.proto.RaftProtos.LogEntryProto;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientRequest;
+import org.apache.ratis.protocol.RaftGroupId;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.protocol.TermIndex;
+import org.apache.ratis.server.raftlog.RaftLog;
+import org.apache.ratis.server.storage.FileInfo;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.statemachine.StateMachineStorage;
+import org.apache.ratis.statemachine.TransactionContext;
+import org.apache.ratis.statemachine.impl.BaseStateMachine;
+import org.apache.ratis.statemachine.impl.SimpleStateMachineStorage;
+import org.apache.ratis.statemachine.impl.SingleFileSnapshotInfo;
+import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.apache.ratis.util.MD5FileUtil;
+import org.tinylog.Logger;
+import streamproxy.duties.Command;
+import streamproxy.duties.Ledger;
+import streamproxy.duties.Result;
+
+/**
+ * The ledger upon the common log: commands in the log's order, snapshots with a schema version and a checksum. It knows
+ * neither requests nor boxes.
+ */
+final class LedgerMachine extends BaseStateMachine {
+    /** "SPFL", the first bytes of a snapshot; its checksum (CRC-32C of what follows) and its record come after. */
+    private static final int MAGIC = 0x5350464c;
+    private static final int HEAD = 8;
+
+    private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
+    private final Consumer<Ledger> applied;
+    private Ledger ledger = new Ledger();
+    private String stuck; // why nothing more is applied; null: all is
+
+    /** @param applied is told after each command, in the log's order, and must not wait; the ledger is its for that call */
+    LedgerMachine(Consumer<Ledger> applied) { this.applied = applied; }
+
+    @Override public void initialize(RaftServer server, RaftGroupId group, RaftStorage raftStorage) throws IOException {
+        super.initialize(server, group, raftStorage);
+        storage.init(raftStorage);
+        load(storage.loadLatestSnapshot());
+    }
+
+    @Override public void reinitialize() throws IOException { load(storage.loadLatestSnapshot()); }
+
+    @Override public StateMachineStorage getStateMachineStorage() { return storage; }
+
+    /** What cannot be read is refused before it is in the log: there it would stop every member. */
+    @Override public TransactionContext startTransaction(RaftClientRequest request) throws IOException {
+        try {
+            Codec.command(request.getMessage().getContent().toByteArray());
+        } catch (Codec.Unreadable e) {
+            throw new IOException(e.getMessage());
+        }
+        return super.startTransaction(request);
+    }
+
+    @Override public CompletableFuture<Message> applyTransaction(TransactionContext context) {
+        LogEntryProto entry = context.getLogEntry();
+        TermIndex at = TermIndex.valueOf(entry);
+        synchronized (this) {
+            if (stuck != null) {
+                return CompletableFuture.failedFuture(new IOException(stuck));
+            }
+            try {
+                Command command = Codec.command(entry.getStateMachineLogEntry().getLogData().toByteArray());
+                Result result = ledger.apply(command);
+                updateLastAppliedTermIndex(at);
+                applied.accept(ledger);
+                return CompletableFuture.completedFuture(Message.valueOf(ByteString.copyFrom(Codec.bytes(result))));
+            } catch (Codec.Unreadable e) { // written by a newer program: what it changes cannot be known here
+                stuck = "the common log at " + at + ": " + e.getMessage();
+                Logger.error("{}; this member follows it no further, holds nothing and takes nothing", stuck);
+                return CompletableFuture.failedFuture(new IOException(stuck));
+            }
+        }
+    }
+
+    /** Everything in the ledger now. */
+    synchronized Ledger.Image image() { return ledger.image(); }
+
+    /** Why nothing more is applied; null where all is. */
+    synchronized String stuck() { return stuck; }
+
+    @Override public long takeSnapshot() throws IOException {
+        TermIndex at;
+        byte[] record;
+        synchronized (this) {
+            if (stuck != null) {
+                return RaftLog.INVALID_LOG_INDEX;
+            }
+            at = getLastAppliedTermIndex();
+            record = Codec.bytes(ledger.image());
+        }
+        Path file = storage.getSnapshotFile(at.getTerm(), at.getIndex()).toPath();
+        ByteBuffer bytes = ByteBuffer.allocate(HEAD + record.length).putInt(MAGIC).putInt(sum(record)).put(record);
+        Synced.write(file, bytes.array());
+        storage.updateLatestSnapshot(new SingleFileSnapshotInfo(new FileInfo(file, MD5FileUtil.computeAndSaveMd5ForFile(file.toFile())), at));
+        return at.getIndex();
+    }
+
+    private synchronized void load(SingleFileSnapshotInfo snapshot) throws IOException {
+        if (snapshot == null) {
+            return;
+        }
+        Path file = snapshot.getFile().getPath();
+        ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file));
+        if (bytes.remaining() < HEAD || bytes.getInt() != MAGIC) {
+            throw new IOException(file + ": offset 0: no snapshot of a fleet's ledger");
+        }
+        int sum = bytes.getInt();
+        byte[] record = new byte[bytes.remaining()];
+        bytes.get(record);
+        if (sum(record) != sum) {
+            throw new IOException(file + ": offset " + HEAD + ": the checksum of " + record.length + " bytes does not fit");
+        }
+        try {
+            ledger = new Ledger(Codec.image(record));
+        } catch (Codec.Unreadable e) {
+            throw new IOException(file + ": offset " + HEAD + ": " + e.getMessage());
+        }
+        setLastAppliedTermIndex(snapshot.getTermIndex());
+        applied.accept(ledger);
+    }
+
+    private static int sum(byte[] bytes) {
+        CRC32C sum = new CRC32C();
+        sum.update(bytes);
+        return (int) sum.getValue();
+    }
+}
--- a/lab/src/main/java/streamproxy/lab/RouterProcess.java
+++ b/lab/src/main/java/streamproxy/lab/RouterProcess.java
@@ -16,7 +16,7 @@
 import java.util.regex.Pattern;
 
 /** A router's process, started as the deploy file starts it, and what the system tells of it. */
-final class RouterProcess implements AutoCloseable {
+public final class RouterProcess implements AutoCloseable {
     private static final long START_MS = 30_000;
     private static final int TICKS_PER_S = 100; // of /proc's CPU times, as Linux has it
 
@@ -76,7 +76,8 @@
         }
     }
 
-    private static InetSocketAddress free() throws IOException {
+    /** An address of the loopback that nobody listens at now. */
+    public static InetSocketAddress free() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
         }
--- a/lab/src/main/java/streamproxy/lab/StandIns.java
+++ b/lab/src/main/java/streamproxy/lab/StandIns.java
@@ -20,7 +20,7 @@
  * Model boxes and their list that answer at once, so that what is measured is the router. A box answers each prompt with
  * a few events in one go; the list names all boxes and has no news.
  */
-final class StandIns implements AutoCloseable {
+public final class StandIns implements AutoCloseable {
     private static final int BACKLOG = 1024;
     private static final byte[] STREAM = ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             + chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"table\"},\"finish_reason\":\"stop\"}]}\n\n")
@@ -48,7 +48,7 @@
     private final AtomicLong served = new AtomicLong();
     private final AtomicInteger connections = new AtomicInteger();
 
-    StandIns(int count) throws IOException {
+    public StandIns(int count) throws IOException {
         for (int i = 0; i < count; i++) {
             boxes.add(open(this::box));
         }
@@ -143,10 +143,10 @@
         return ("HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text).getBytes(StandardCharsets.US_ASCII);
     }
 
-    String listAddress() { return "127.0.0.1:" + list.getLocalPort(); }
+    public String listAddress() { return "127.0.0.1:" + list.getLocalPort(); }
 
     /** What a router is told that serves from these. */
-    String configuration(int descriptors, int memoryMb) {
+    public String configuration(int descriptors, int memoryMb) {
         return "{\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + descriptors + ",\"memory_mb\":" + memoryMb
                 + "},\"known\":" + all() + ",\"settings\":" + SETTINGS + "}";
     }
--- /dev/null
+++ b/lab/src/test/java/streamproxy/lab/fleet/DutyStories.java
@@ -0,0 +1,123 @@
+package streamproxy.lab.fleet;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import org.junit.rules.Timeout;
+
+/** Three routers as processes, and what happens to one duty as they are killed, stalled and told to leave. */
+public class DutyStories {
+    private static final String DUTY = "report";
+    private static final double LEASE_S = 1;
+    private static final Path JAR = Path.of("../fleet/target/streamproxy-fleet.jar").toAbsolutePath();
+
+    @Rule public final TemporaryFolder folder = new TemporaryFolder();
+    @Rule public final Timeout limit = new Timeout(120, TimeUnit.SECONDS);
+
+    private Daemons fleet;
+    private Observed observed;
+    private Actors actors;
+
+    @Before public void three() throws Exception {
+        assertTrue(JAR + " is built before this module's tests", Files.exists(JAR));
+        fleet = new Daemons(JAR, 3, LEASE_S, "duties = " + DUTY + "\nturn_wait_s = 60", folder.getRoot().toPath());
+        fleet.startAll();
+        observed = new Observed(folder.getRoot().toPath().resolve("observed.jsonl"));
+        actors = new Actors(fleet, List.of(DUTY), observed);
+        awaitAct("three from nothing", 0);
+    }
+
+    @After public void end() throws Exception {
+        actors.close();
+        observed.close();
+        fleet.close();
+        Audit.Found found = Audit.of(folder.getRoot().toPath().resolve("observed.jsonl"));
+        assertEquals(List.of(), found.breaches());
+        assertTrue(found.acts() > 0);
+    }
+
+    /** Waits for an act by a fence that is higher than that. */
+    private Actors.Last awaitAct(String what, long fence) throws InterruptedException {
+        DaemonProcess.await(what, 60, () -> actors.last(DUTY) != null && actors.last(DUTY).fence() > fence);
+        return actors.last(DUTY);
+    }
+
+    private DaemonProcess holder() {
+        return fleet.all().stream().filter(d -> d.name().equals(actors.last(DUTY).who())).findFirst().orElseThrow();
+    }
+
+    private static boolean holds(DaemonProcess daemon) {
+        DaemonProcess.Reply reply = daemon.get("/admin/fleet/duty/" + DUTY);
+        return reply != null && reply.status() == 200;
+    }
+
+    @Test public void aHolderThatIsKilledIsFollowedByAnotherAndComesBackWithoutTheDuty() throws Exception {
+        DaemonProcess killed = holder();
+        long fence = actors.last(DUTY).fence();
+        killed.kill();
+        Actors.Last next = awaitAct("another holds it", fence);
+        assertTrue(!next.who().equals(killed.name()));
+        killed.start();
+        DaemonProcess.await("it is a member again", 60, () -> Boolean.TRUE.equals(killed.status().get("member")));
+        assertEquals(next.who(), actors.last(DUTY).who());
+    }
+
+    @Test public void aHolderThatIsStalledForLongerThanItsLeaseHoldsNothingWhenItGoesOn() throws Exception {
+        DaemonProcess stalled = holder();
+        long fence = actors.last(DUTY).fence();
+        stalled.stall();
+        awaitAct("another holds it", fence);
+        stalled.goOn();
+        DaemonProcess.await("it answers again", 60, () -> !stalled.status().isEmpty());
+        assertTrue("its lease is over by its own clock", !holds(stalled));
+    }
+
+    @Test public void withoutAMajorityNobodyHoldsAndEverybodyServes() throws Exception {
+        long fence = actors.last(DUTY).fence();
+        DaemonProcess left = fleet.get(2);
+        fleet.get(0).kill();
+        fleet.get(1).kill();
+        DaemonProcess.await("its lease is over", 60, () -> !holds(left) && "".equals(left.status().get("leader")));
+        assertEquals(200, left.get("/admin/health").status());
+        fleet.get(1).start();
+        awaitAct("two of three are a majority", fence);
+    }
+
+    @Test public void routersThatAreToLeaveTogetherLeaveOneAfterAnother() throws Exception {
+        fleet.all().subList(0, 2).forEach(DaemonProcess::terminate);
+        for (DaemonProcess daemon : fleet.all().subList(0, 2)) {
+            assertEquals(0, daemon.process().waitFor());
+        }
+        List<String> times = Stream.concat(fleet.get(0).log().lines(), fleet.get(1).log().lines())
+                .filter(line -> line.contains("LEAVING after") || line.contains("is answered")).map(line -> line.substring(0, 12)).toList();
+        assertEquals("each has left once: " + times, 4, times.size());
+        boolean firstBefore = times.get(0).compareTo(times.get(2)) < 0;
+        assertTrue(times.toString(), times.get(firstBefore ? 1 : 3).compareTo(times.get(firstBefore ? 2 : 0)) <= 0);
+    }
+
+    @Test public void aFolderOfAnotherProcessOrAnotherFleetIsRefusedInOneLine() throws Exception {
+        assertEquals(List.of("another process runs from this folder"), refusal("lease_s", "lease_s"));
+        fleet.get(0).kill();
+        assertEquals(List.of("fleet: it is of lab, not of other"), refusal("id = lab", "id = other"));
+    }
+
+    private List<String> refusal(String what, String instead) throws IOException, InterruptedException {
+        DaemonProcess second = fleet.like(JAR, fleet.get(0), what, instead);
+        long before = fleet.get(0).log().lines().count();
+        second.start();
+        assertEquals(3, second.process().waitFor());
+        return fleet.get(0).log().lines().skip(before).filter(line -> line.startsWith("streamproxy: "))
+                .map(line -> line.replaceFirst(".*(another process|fleet: it).*", "$0").replaceFirst("streamproxy: [^ ]*: (member.properties: )?", "")).toList();
+    }
+}
--- a/router/src/main/java/streamproxy/program/OperatorCalls.java
+++ b/router/src/main/java/streamproxy/program/OperatorCalls.java
@@ -19,6 +19,7 @@
  *
  * <ul>
  * <li>{@code GET /admin/health}: 200 once this process can serve, else 503;
+ * <li>{@code GET /admin/fleet} and paths below it: what the fleet answers ({@link Fleet#call}); 404 for a router alone;
  * <li>{@code POST /admin/quiesce}: 200, and clients are sent away ({@link Lifecycle#quiesce});
  * <li>{@code POST /admin/resume}: 200, and they come again; both are 409 once the program leaves.
  * </ul>
@@ -35,6 +36,9 @@
 
         /** Sends clients away, or takes them back; false where that can no longer be. */
         boolean quiesce(boolean away);
+
+        /** What {@link Fleet#call} answers. */
+        Fleet.Reply fleet(String path);
     }
 
     static final int AT_ONCE = 64;
@@ -103,15 +107,18 @@
 
     private void answer(HttpHead head, HttpWriter writer) throws IOException {
         String path = head.path();
+        Fleet.Reply fleet = path.startsWith("/admin/fleet") && head.method().equals("GET") ? desk.fleet(path) : null;
         String method = switch (path) {
             case "/admin/health" -> "GET";
             case "/admin/quiesce", "/admin/resume" -> "POST";
-            default -> null;
+            default -> fleet == null ? null : "GET";
         };
         if (method == null) {
             writer.answer(404, "no such call", true);
         } else if (!method.equals(head.method())) {
             writer.answer(405, "only " + method, true, "Allow: " + method);
+        } else if (fleet != null) {
+            writer.answer(fleet.status(), fleet.json(), true);
         } else if (path.equals("/admin/health")) {
             boolean serves = desk.health();
             writer.answer(serves ? 200 : 503, serves ? "serving" : "not serving", true);
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -42,6 +42,7 @@
     /** Sections of the operator's file that a reload does not change. */
     private static final List<String> UNTIL_RESTART = List.of("streams", "retries");
 
+    private final Fleet fleet;
     private final Lifecycle lifecycle;
     private final Recording recording;
     private final QuietConnections quiet;
@@ -65,7 +66,10 @@
     /** A router that no operator has told anything. */
     public Router(NodeConfig config) throws IOException, Unusable { this(config, OperatorFile.NONE); }
 
-    public Router(NodeConfig config, OperatorFile operator) throws IOException, Unusable {
+    public Router(NodeConfig config, OperatorFile operator) throws IOException, Unusable { this(config, operator, Fleet.ALONE); }
+
+    public Router(NodeConfig config, OperatorFile operator, Fleet fleet) throws IOException, Unusable {
+        this.fleet = fleet;
         this.config = config;
         recording = Recording.of(operator, config.seed());
         watchdog = new Watchdog(recording.records());
@@ -99,6 +103,8 @@
         operatorCalls = config.operator() == null ? null : new OperatorCalls(config.operator(), new OperatorCalls.Desk() {
             @Override public boolean health() { return lifecycle.serving() && module.knowsBoxes(); }
 
+            @Override public Fleet.Reply fleet(String path) { return fleet.call(path); }
+
             @Override public boolean quiesce(boolean away) {
                 boolean done = lifecycle.quiesce(away);
                 if (done) {
@@ -235,6 +241,7 @@
 
     /** Goes on taking requests for the grace, then finishes all that was taken. */
     public void leave() throws IOException, InterruptedException {
+        fleet.awaitTurnToLeave();
         if (!lifecycle.enter(Lifecycle.Phase.LEAVING)) {
             return;
         }
@@ -245,6 +252,7 @@
         lifecycle.enter(Lifecycle.Phase.STOPPED);
         Logger.info("all that was taken is answered");
         recording.close();
+        fleet.left();
     }
 
     /** Stops taking connections, whatever is in work. */
--- a/router/src/main/java/streamproxy/program/Serving.java
+++ b/router/src/main/java/streamproxy/program/Serving.java
@@ -17,10 +17,13 @@
     private Serving() { }
 
     /** Runs a router until a signal ends the program; comes back only with an exception, where it cannot start. */
-    static int run(Operator operator) throws Unusable, IOException, InterruptedException {
+    static int run(Operator operator) throws Unusable, IOException, InterruptedException { return run(operator, Fleet.ALONE); }
+
+    /** The same as a member of a fleet. */
+    static int run(Operator operator, Fleet fleet) throws Unusable, IOException, InterruptedException {
         Semaphore hangUps = new Semaphore(0);
         HangUp.then(hangUps::release); // first of all: unhandled, SIGHUP ends a JVM
-        Router router = new Router(NodeConfig.read(System.getenv()), operator.read());
+        Router router = new Router(NodeConfig.read(System.getenv()), operator.read(), fleet);
         Thread.setDefaultUncaughtExceptionHandler((thread, e) -> Logger.error(e, "in thread {}", thread.getName()));
         // SIGTERM runs this hook; other threads go on until it is done, and the exit code is 0 then.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/router/src/main/java/streamproxy/protocol/OperatorFile.java
+++ b/router/src/main/java/streamproxy/protocol/OperatorFile.java
@@ -100,6 +100,11 @@
     private static final Set<String> COLLECTORS = Set.of("address", "transport", "framing", "most_bytes", "trust_store",
             "trust_password_file", "key_store", "key_password_file", "check_name");
 
+    /** Of the section that {@code streamproxy daemon} reads; the router itself makes nothing of it. */
+    public static final String FLEET = "fleet";
+    private static final Set<String> FLEET_KEYS = Set.of("id", "name", "listen", "members", "voters", "folder", "lease_s", "drift_ppm",
+            "act_ms", "duties", "turn_wait_s");
+
     /** No file: everything is as the deployment says. */
     public static final OperatorFile NONE = new OperatorFile("", "", new EnumMap<>(Key.class));
 
@@ -122,7 +127,7 @@
 
     /** The keys of a section that holds texts; null for any other. Sections {@code syslog collector NAME} are one kind. */
     static Set<String> textKeys(String section) {
-        return section == null ? null : section.equals("syslog") ? SYSLOG : section.startsWith(COLLECTOR) ? COLLECTORS : null;
+        return section == null ? null : section.equals("syslog") ? SYSLOG : section.equals(FLEET) ? FLEET_KEYS : section.startsWith(COLLECTOR) ? COLLECTORS : null;
     }
 
     void setText(String section, String word, String value) { texts.get(section).put(word, value); }
