--- a/decision/src/main/java/streamproxy/duties/Command.java
+++ b/decision/src/main/java/streamproxy/duties/Command.java
@@ -19,6 +19,9 @@
 
     From from();
 
+    /** The duty that it is about; null where it is about members. */
+    default String duty() { return null; }
+
     /**
      * A process of the member begins, with a session never used before; commands of the member's earlier sessions are
      * refused from then on. What these hold stays theirs until it lapses: the earlier process may still be acting.
--- a/decision/src/main/java/streamproxy/duties/Lease.java
+++ b/decision/src/main/java/streamproxy/duties/Lease.java
@@ -94,10 +94,11 @@
 
     /** The replica here shows the duty like this now. Told again without a change it says nothing new. */
     public void sees(long now, Duty as) {
-        if (seen != null && as.fence() == seen.fence() && as.renewals() == seen.renewals() && as.leaving() == seen.leaving()) {
-            return;
+        if (seen != null && (as.renewals() < seen.renewals()
+                || as.renewals() == seen.renewals() && as.leaving() == seen.leaving())) {
+            return; // known, or older: whoever tells may have looked before another did
         }
-        boolean said = seen == null || as.fence() != seen.fence() || as.renewals() != seen.renewals();
+        boolean said = seen == null || as.renewals() != seen.renewals();
         seen = as;
         seenAt = said ? now : seenAt; // being asked to leave is no sign of life
         if (holds() && as.fence() > fence) {
@@ -130,6 +131,9 @@
             actsFrom = g.clean() ? now : now + settleNs;
             state = State.HOLDING;
             heldFrom = leaseFrom(askedAt, now);
+            if (!wanted) {
+                stop(""); // it was given up while its answer was on its way
+            }
         } else if (done instanceof Command.Renew && holds()) {
             heldFrom = leaseFrom(askedAt, now);
         } else if (done instanceof Command.Release && state == State.RELEASING) {
--- a/decision/src/main/java/streamproxy/duties/Ledger.java
+++ b/decision/src/main/java/streamproxy/duties/Ledger.java
@@ -141,14 +141,17 @@
             return held(c.from(), c.duty(), c.fence(), duty(c.duty()).released(members.containsKey(c.next()) ? c.next() : ""));
         } else if (command instanceof Command.HandOn c) {
             Duty duty = duty(c.duty());
-            if (duty.isFree() || !c.to().isEmpty() && !members.containsKey(c.to())) {
+            if (!c.to().isEmpty() && !members.containsKey(c.to())) {
+                return new Result.Refused(Why.NO_MEMBER);
+            }
+            if (duty.isFree()) {
                 return new Result.Refused(Why.CHANGED);
             }
             duties.put(duty.name(), duty.asked(c.to()));
             return new Result.Done();
         } else if (command instanceof Command.Depart c) {
             if (members.remove(c.who()) == null) {
-                return new Result.Refused(Why.NO_SESSION);
+                return new Result.Refused(Why.NO_MEMBER);
             }
             sessions.remove(c.who());
             epoch++;
--- a/decision/src/main/java/streamproxy/duties/Result.java
+++ b/decision/src/main/java/streamproxy/duties/Result.java
@@ -27,6 +27,8 @@
         /** The duty is not as it was seen, or not the asker's. */
         CHANGED,
         /** The command's answer is not known any more. */
-        TOO_OLD
+        TOO_OLD,
+        /** There is no such member. */
+        NO_MEMBER
     }
 }
--- a/decision/src/test/java/streamproxy/duties/SimulationTest.java
+++ b/decision/src/test/java/streamproxy/duties/SimulationTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Arrays;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,6 +31,8 @@
         boolean[] alone = new boolean[world.nodes.size()]; // stopped: its process does nothing, though its time passes
         boolean[] deaf = new boolean[world.nodes.size()];  // hears nothing, and may yet speak
         boolean[] mute = new boolean[world.nodes.size()];
+        boolean[] wants = new boolean[world.nodes.size()];
+        Arrays.fill(wants, true);
         for (int step = 0; step < STEPS; step++) {
             int who = random.nextInt(world.nodes.size());
             Node node = world.nodes.get(who);
@@ -41,6 +44,7 @@
                 case 4 -> {
                     if (random.nextInt(4) == 0) {
                         world.crash(node);
+                        wants[who] = true;
                     }
                 }
                 case 5, 6 -> {
@@ -48,12 +52,17 @@
                         world.commands.remove(random.nextInt(world.commands.size()));
                     }
                 }
-                case 7, 8, 9, 10 -> world.pass(random.nextLong(400 * MS));
+                case 7 -> {
+                    wants[who] = !wants[who];
+                    node.lease.wants(wants[who]);
+                }
+                case 8, 9, 10 -> world.pass(random.nextLong(400 * MS));
                 default -> ordinary(world, random, node, alone[who], deaf[who], mute[who]);
             }
             world.check();
         }
         long stale = world.stale;
+        world.nodes.forEach(node -> node.lease.wants(true));
         settle(world, seed);
         return new Walk(world.acts, world.ledger.duty(World.DUTY).fence(), stale);
     }
@@ -74,7 +83,7 @@
             while (world.lags(node) && random.nextInt(10) > 0) {
                 world.apply(node);
             }
-            if (!world.answers.isEmpty()) {
+            if (!world.answers.isEmpty() && random.nextInt(3) == 0) { // the others wait
                 world.answer(random.nextInt(world.answers.size()));
             }
         }
--- a/decision/src/test/java/streamproxy/duties/World.java
+++ b/decision/src/test/java/streamproxy/duties/World.java
@@ -3,6 +3,7 @@
 import java.lang.reflect.Field;
 import java.lang.reflect.Modifier;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -16,6 +17,14 @@
 
     static final String DUTY = "box 7";
     static final int DRIFT_PPM = 50_000;
+    /** All that a lease remembers, but for its source of numbers, which is the node's. */
+    private static final List<Field> LEASE = Arrays.stream(Lease.class.getDeclaredFields())
+            .filter(f -> !Modifier.isStatic(f.getModifiers()) && !f.getName().equals("numbers")).toList();
+
+    static {
+        LEASE.forEach(field -> field.setAccessible(true));
+    }
+
     private static final double DRIFT = DRIFT_PPM / 1e6;
 
     private static final class LeaseFromAnswer extends Lease {
@@ -191,16 +200,11 @@
                 .append(ledger.image());
         for (Node node : nodes) {
             text.append('|').append(node.applied).append(' ').append(node.numbers).append(' ').append(node.act);
-            for (Class<?> type = node.lease.getClass(); type != Object.class; type = type.getSuperclass()) {
-                for (Field field : type.getDeclaredFields()) {
-                    if (!Modifier.isStatic(field.getModifiers()) && !field.getName().equals("numbers")) {
-                        try {
-                            field.setAccessible(true);
-                            text.append(' ').append(field.get(node.lease));
-                        } catch (IllegalAccessException e) {
-                            throw new AssertionError(e);
-                        }
-                    }
+            for (Field field : LEASE) {
+                try {
+                    text.append(' ').append(field.get(node.lease));
+                } catch (IllegalAccessException e) {
+                    throw new AssertionError(e);
                 }
             }
         }
--- a/fleet/src/main/java/streamproxy/fleet/Duties.java
+++ b/fleet/src/main/java/streamproxy/fleet/Duties.java
@@ -37,7 +37,6 @@
     private final LongSupplier clock;
     private final BiConsumer<Command, Duties> send;
     private final Told told;
-    private Ledger.Image ledger; // as applied last; null before
     private boolean closed;
 
     /**
@@ -59,39 +58,53 @@
         thread.start();
     }
 
+    /** A number for a command of this session that is no lease's. */
+    long nextNumber() { return numbers.incrementAndGet(); }
+
     /** This member would have that duty. */
     synchronized void seek(String duty, int rank, long settleNs) {
         Lease lease = leases.computeIfAbsent(duty, name -> new Lease(name, member, session, terms, settleNs, numbers::incrementAndGet));
         lease.rank(rank);
         lease.wants(true);
-        see();
+        notifyAll();
     }
 
-    /** This member would have the duty no more; it stops in good order where it holds it. */
-    synchronized void give(String duty) {
+    /** Where this member stands in line for a duty that it seeks. */
+    synchronized void rank(String duty, int rank) {
         Lease lease = leases.get(duty);
         if (lease != null) {
-            lease.wants(false);
+            lease.rank(rank);
             notifyAll();
         }
     }
 
-    /** The replica here has applied something; on its thread. */
-    synchronized void applied(Ledger.Image image) {
-        ledger = image;
-        see();
+    /** The duty is like that, as far as is known here. */
+    synchronized void sees(Duty duty) {
+        Lease lease = leases.get(duty.name());
+        if (lease != null) {
+            lease.sees(clock.getAsLong(), duty);
+            notifyAll();
+        }
     }
 
-    private void see() {
-        if (ledger != null) {
-            long now = clock.getAsLong();
-            Map<String, Duty> named = new LinkedHashMap<>();
-            ledger.duties().forEach(duty -> named.put(duty.name(), duty));
-            leases.forEach((name, lease) -> lease.sees(now, named.getOrDefault(name, new Duty(name, "", 0, 0, 0, "", false))));
+    /** This member would have the duty no more; it stops in good order where it holds it. */
+    synchronized void give(String duty) {
+        Lease lease = leases.get(duty);
+        if (lease != null) {
+            lease.wants(false);
             notifyAll();
         }
     }
 
+    /** The replica here has applied something about that duty, or about any where it is null; on its thread. */
+    synchronized void applied(Ledger ledger, String duty) {
+        if (duty != null) {
+            sees(ledger.duty(duty));
+        } else {
+            leases.keySet().forEach(name -> sees(ledger.duty(name)));
+        }
+    }
+
     /** The consensus has answered a command of ours. */
     synchronized void answered(Command command, Result result) {
         long now = clock.getAsLong();
--- a/fleet/src/main/java/streamproxy/fleet/Ensemble.java
+++ b/fleet/src/main/java/streamproxy/fleet/Ensemble.java
@@ -6,13 +6,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.apache.ratis.RaftConfigKeys;
 import org.apache.ratis.client.RaftClient;
 import org.apache.ratis.client.RaftClientConfigKeys;
@@ -36,6 +37,7 @@
 import org.apache.ratis.util.TimeDuration;
 import org.tinylog.Logger;
 import streamproxy.duties.Command;
+import streamproxy.duties.Duty;
 import streamproxy.duties.Ledger;
 import streamproxy.duties.Result;
 
@@ -63,12 +65,13 @@
     private final RaftGroup group;
     private final RaftServer server;
     private final RaftClient client;
+    private final AtomicLong changes = new AtomicLong(); // of members, under way
     private final LedgerMachine machine;
     private final ThreadPoolExecutor senders;
     private final AtomicLong unsent = new AtomicLong();
 
     /** @param applied is told of each change of the ledger, as {@link LedgerMachine} says */
-    Ensemble(FleetSettings settings, Folder folder, Consumer<Ledger> applied) throws IOException {
+    Ensemble(FleetSettings settings, Folder folder, LedgerMachine.Applied applied) throws IOException {
         List<RaftPeer> peers = new ArrayList<>();
         for (Map.Entry<String, InetSocketAddress> member : settings.members().entrySet()) {
             boolean votes = settings.voters().contains(member.getKey());
@@ -77,13 +80,16 @@
                     .setStartupRole(votes ? RaftPeerRole.FOLLOWER : RaftPeerRole.LISTENER).build());
         }
         RaftGroupId id = RaftGroupId.valueOf(UUID.nameUUIDFromBytes(settings.id().getBytes(StandardCharsets.UTF_8)));
-        group = RaftGroup.valueOf(id, peers);
+        // Who joins a fleet that runs is told by it who is in; with a list of its own it would call for elections.
+        boolean joins = settings.joins() && folder.fresh();
+        RaftGroup known = RaftGroup.valueOf(id, peers);
+        group = joins ? RaftGroup.valueOf(id) : known;
         machine = new LedgerMachine(applied);
         RaftProperties properties = properties(settings, folder);
         server = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(settings.name())).setGroup(group).setStateMachine(machine)
                 .setOption(folder.fresh() ? RaftStorage.StartupOption.FORMAT : RaftStorage.StartupOption.RECOVER)
                 .setProperties(properties).build();
-        client = RaftClient.newBuilder().setRaftGroup(group).setProperties(properties)
+        client = RaftClient.newBuilder().setRaftGroup(known).setProperties(properties)
                 .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(3, ms(100))).build();
         senders = new ThreadPoolExecutor(SENDERS, SENDERS, 5, TimeUnit.SECONDS, new ArrayBlockingQueue<>(WAITING_MOST), work -> {
             Thread thread = new Thread(null, work, "fleet sender", 256 * 1024);
@@ -136,9 +142,76 @@
         }
     }
 
+    /**
+     * Has the consensus take that member in, as one that follows or one that votes too; one that is in is moved there. It
+     * comes back at once: {@link #peers} tells when it is done.
+     *
+     * @return false where another change that began here is under way
+     */
+    boolean join(String member, String address, boolean votes) {
+        return change((voters, followers) -> {
+            RaftPeer peer = RaftPeer.newBuilder().setId(member).setAddress(address)
+                    .setStartupRole(votes ? RaftPeerRole.FOLLOWER : RaftPeerRole.LISTENER).build();
+            voters.remove(member);
+            followers.remove(member);
+            (votes ? voters : followers).put(member, peer);
+        });
+    }
+
+    /** Has the consensus let a member go; the same. */
+    boolean leave(String member) {
+        return change((voters, followers) -> {
+            voters.remove(member);
+            followers.remove(member);
+        });
+    }
+
+    private boolean change(BiConsumer<Map<String, RaftPeer>, Map<String, RaftPeer>> how) {
+        if (!changes.compareAndSet(0, 1)) {
+            return false;
+        }
+        try {
+            senders.execute(() -> {
+                try {
+                    Map<String, RaftPeer> voters = named(RaftPeerRole.FOLLOWER);
+                    Map<String, RaftPeer> followers = named(RaftPeerRole.LISTENER);
+                    how.accept(voters, followers);
+                    RaftClientReply reply = client.admin().setConfiguration(List.copyOf(voters.values()), List.copyOf(followers.values()));
+                    if (!reply.isSuccess()) {
+                        Logger.warn("fleet: the members were not changed: {}", reply.getException());
+                    }
+                } catch (IOException e) {
+                    Logger.warn("fleet: the members were not changed: {}", e.getMessage());
+                } finally {
+                    changes.set(0);
+                }
+            });
+            return true;
+        } catch (RejectedExecutionException e) {
+            changes.set(0);
+            return false;
+        }
+    }
+
+    private Map<String, RaftPeer> named(RaftPeerRole role) throws IOException {
+        Map<String, RaftPeer> named = new TreeMap<>();
+        server.getDivision(group.getGroupId()).getRaftConf().getCurrentPeers(role).forEach(p -> named.put(p.getId().toString(), p));
+        return named;
+    }
+
+    /** Who is in the consensus, as far as is known here: names, and whether each votes. */
+    Map<String, Boolean> peers() throws IOException {
+        Map<String, Boolean> peers = new TreeMap<>();
+        named(RaftPeerRole.FOLLOWER).keySet().forEach(name -> peers.put(name, true));
+        named(RaftPeerRole.LISTENER).keySet().forEach(name -> peers.put(name, false));
+        return peers;
+    }
+
     /** Commands for which there was no room. */
     long unsent() { return unsent.get(); }
 
+    Duty duty(String name) { return machine.duty(name); }
+
     Ledger.Image image() { return machine.image(); }
 
     /** Why this member follows the common log no further; null where it does. */
--- a/fleet/src/main/java/streamproxy/fleet/FleetMain.java
+++ b/fleet/src/main/java/streamproxy/fleet/FleetMain.java
@@ -11,9 +11,9 @@
 
 /** Command-line entry of routers that talk to each other. */
 @Command(name = "streamproxy", mixinStandardHelpOptions = true,
-        description = "Runs a router as a member of its fleet.", subcommands = FleetMain.Run.class,
-        footer = {"", "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 a configuration that cannot be used.", "", "Example:",
-                "  streamproxy daemon --operator /etc/streamproxy/r0.ini"})
+        description = "Runs a router as a member of its fleet.", subcommands = {FleetMain.Run.class, FleetCommands.class},
+        footer = {"", "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 a configuration that cannot be used.", "", "Examples:",
+                "  streamproxy daemon --operator /etc/streamproxy/r0.ini", "  streamproxy fleet status --at 127.0.0.1:9800"})
 final class FleetMain implements Callable<Integer> {
     private FleetMain() { }
 
--- a/fleet/src/main/java/streamproxy/fleet/FleetNode.java
+++ b/fleet/src/main/java/streamproxy/fleet/FleetNode.java
@@ -2,9 +2,15 @@
 
 import java.io.IOException;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.Locale;
 import java.util.StringJoiner;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.tinylog.Logger;
 import streamproxy.duties.Command;
 import streamproxy.duties.Duty;
@@ -15,6 +21,7 @@
 import streamproxy.duties.Result;
 import streamproxy.program.Fleet;
 import streamproxy.protocol.NodeConfig.Unusable;
+import streamproxy.records.Event;
 
 /** This router as a member of its fleet: folder, consensus and duties, from start to leaving. */
 final class FleetNode implements Fleet, AutoCloseable {
@@ -23,6 +30,10 @@
     /** One router of the fleet leaves at a time. */
     static final String TURN = "turn to leave";
     private static final String DUTY = "/admin/fleet/duty/";
+    private static final String HAND_ON = "/admin/fleet/hand-on/";
+    private static final String JOIN = "/admin/fleet/join/";
+    private static final String LEAVE = "/admin/fleet/leave/";
+    private static final long ANSWER_MS = 450;
 
     private final FleetSettings settings;
     private final Folder folder;
@@ -31,22 +42,35 @@
     private final long session;
     private volatile Result.Why refused; // why this process is no member; null while that is not known
     private volatile boolean member;
+    private volatile Consumer<Event> records; // null: nobody wants any
 
     FleetNode(FleetSettings settings) throws Unusable, IOException {
         this.settings = settings;
         folder = Folder.open(settings.folder(), settings.id(), settings.name());
         long drawn = new SecureRandom().nextLong();
         session = drawn == 0 ? 1 : drawn;
-        duties = new Duties(settings.name(), session, settings.terms(), System::nanoTime, this::send, FleetNode::told);
-        ensemble = new Ensemble(settings, folder, ledger -> duties().applied(ledger.image()));
+        duties = new Duties(settings.name(), session, settings.terms(), System::nanoTime, this::send, this::told);
+        ensemble = new Ensemble(settings, folder, this::applied);
     }
 
-    private Duties duties() { return duties; }
+    /** May come while the constructor is still at the consensus, from a snapshot: then nothing is sought yet. */
+    private void applied(Ledger ledger, String duty) {
+        duties.applied(ledger, duty);
+        if (duty == null) { // who is in may have changed
+            List<String> names = ledger.members().stream().map(Member::name).toList();
+            settings.duties().forEach(name -> duties.rank(name, Ranks.of(name, settings.name(), names)));
+        }
+    }
+
+    private void seek(String duty, int rank) {
+        duties.seek(duty, rank, 0);
+        duties.sees(ensemble.duty(duty)); // before the next command would tell of it
+    }
 
     void start() throws IOException {
         ensemble.start();
         for (String duty : settings.duties()) {
-            duties.seek(duty, Ranks.of(duty, settings.name(), settings.members().keySet()), 0);
+            seek(duty, Ranks.of(duty, settings.name(), settings.members().keySet()));
         }
         Thread opening = new Thread(null, this::open, "fleet opening", 256 * 1024);
         opening.setDaemon(true);
@@ -83,13 +107,17 @@
 
     private void send(Command command, Duties from) { ensemble.send(command, from::answered); }
 
-    private static void told(String duty, Lease.State before, Lease.State now, long fence) {
+    private void told(String duty, Lease.State before, Lease.State now, long fence) {
         Logger.info("fleet: {}: {} after {}, fence {}", duty, now, before, fence);
+        Consumer<Event> to = records;
+        if (to != null) {
+            to.accept(new Event.DutyChanged(System.currentTimeMillis(), duty, word(now), word(before), fence));
+        }
     }
 
-    Duties leases() { return duties; }
+    private static String word(Lease.State state) { return state.name().toLowerCase(Locale.ROOT); }
 
-    boolean isMember() { return member; }
+    @Override public void tell(Consumer<Event> to) { records = to; }
 
     // ---- What the router asks -----------------------------------------------------------------------
 
@@ -98,7 +126,7 @@
             return; // no member, and never will be: nobody counts it among those who leave
         }
         settings.duties().forEach(duties::give); // whoever takes them need not wait for a lease
-        duties.seek(TURN, 0, 0);
+        seek(TURN, 0);
         long by = System.nanoTime() + (long) (settings.turnWaitS() * 1e9);
         while (duties.states().get(TURN) != Lease.State.HOLDING) {
             if (System.nanoTime() > by) {
@@ -119,10 +147,20 @@
         close();
     }
 
-    @Override public Reply call(String path) {
+    @Override public Reply call(String method, String path) {
+        String asks = Stream.of(HAND_ON, JOIN, LEAVE).filter(path::startsWith).findFirst().orElse(null);
+        String wanted = asks == null ? "GET" : "POST";
+        if (!method.equals(wanted)) {
+            return new Reply(405, "{\"error\":\"only " + wanted + "\"}");
+        }
         if (path.equals("/admin/fleet")) {
             return new Reply(200, status());
         }
+        if (asks != null) {
+            String[] words = path.substring(asks.length()).split("/", -1);
+            return asks.equals(HAND_ON) ? handOn(words[0].replace("%20", " "), words.length > 1 ? words[1] : "")
+                    : asks.equals(JOIN) ? join(words) : leave(words[0]);
+        }
         String duty = path.startsWith(DUTY) ? path.substring(DUTY.length()) : "";
         if (!settings.duties().contains(duty)) {
             return null;
@@ -135,6 +173,44 @@
         return new Reply(200, "{\"duty\":" + text(duty) + ",\"held\":true,\"fence\":" + fence + "}");
     }
 
+    private Reply join(String[] words) {
+        boolean votes = words.length == 3 && words[2].equals("votes");
+        if (words.length < 2 || words.length > 3 || words.length == 3 && !votes || words[0].isEmpty() || !words[1].matches("[^:]+:[0-9]{1,5}")) {
+            return new Reply(400, "{\"error\":\"not NAME/HOST:PORT or NAME/HOST:PORT/votes\"}");
+        }
+        return begun(ensemble.join(words[0], words[1], votes));
+    }
+
+    /** Out of the ledger first, which ends its say, and then out of the consensus. */
+    private Reply leave(String who) {
+        Reply gone = ask(new Command.Depart(new Command.From(settings.name(), session, duties.nextNumber()), who));
+        boolean out = gone.status() == 200 || gone.json().contains(Result.Why.NO_MEMBER.name());
+        return out ? begun(ensemble.leave(who)) : gone;
+    }
+
+    private static Reply begun(boolean begun) {
+        return begun ? new Reply(202, "{\"begun\":true}") : new Reply(409, "{\"error\":\"another change of members is under way here\"}");
+    }
+
+    /** Asks the holder, whoever it is, to hand the duty on. */
+    private Reply handOn(String duty, String to) {
+        return ask(new Command.HandOn(new Command.From(settings.name(), session, duties.nextNumber()), duty, to));
+    }
+
+    private Reply ask(Command command) {
+        CompletableFuture<Result> answer = new CompletableFuture<>();
+        ensemble.send(command, (sent, result) -> answer.complete(result));
+        try {
+            Result result = answer.get(ANSWER_MS, TimeUnit.MILLISECONDS);
+            return result instanceof Result.Refused r ? new Reply(409, "{\"error\":\"" + r.why() + "\"}") : new Reply(200, "{\"done\":true}");
+        } catch (TimeoutException e) {
+            return new Reply(504, "{\"error\":\"no answer: perhaps no majority\"}");
+        } catch (ExecutionException | InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new Reply(503, "{\"error\":\"stopping\"}");
+        }
+    }
+
     private String status() {
         Ledger.Image image = ensemble.image();
         StringJoiner members = new StringJoiner(",", "[", "]");
@@ -147,15 +223,17 @@
                     + d.leaving() + "}");
         }
         StringJoiner here = new StringJoiner(",", "[", "]");
-        duties.states().forEach((name, state) -> here.add("{\"duty\":" + text(name) + ",\"state\":\"" + state.name().toLowerCase(Locale.ROOT)
+        duties.states().forEach((name, state) -> here.add("{\"duty\":" + text(name) + ",\"state\":\"" + word(state)
                 + "\",\"granted\":" + duties.counts(name).granted() + ",\"lapsed\":" + duties.counts(name).lapsed() + ",\"late_acts\":"
                 + duties.counts(name).lateActs() + "}"));
+        StringJoiner peers = new StringJoiner(",", "[", "]");
         String leader;
         String role;
         long term;
         long applied;
         try {
             leader = ensemble.leader();
+            ensemble.peers().forEach((name, votes) -> peers.add("{\"name\":" + text(name) + ",\"votes\":" + votes + "}"));
             role = ensemble.info().getCurrentRole().name().toLowerCase(Locale.ROOT);
             term = ensemble.info().getCurrentTerm();
             applied = ensemble.info().getLastAppliedIndex();
@@ -168,8 +246,8 @@
         String why = refused != null ? refused.name() : duties.sessionLost() ? "NO_SESSION" : ensemble.stuck() == null ? "" : ensemble.stuck();
         return "{\"fleet\":" + text(settings.id()) + ",\"name\":" + text(settings.name()) + ",\"member\":" + (member && why.isEmpty())
                 + ",\"refused\":" + text(why) + ",\"leader\":" + text(leader) + ",\"role\":\"" + role + "\",\"term\":" + term
-                + ",\"applied\":" + applied + ",\"epoch\":" + image.epoch() + ",\"unsent\":" + ensemble.unsent() + ",\"members\":" + members
-                + ",\"duties\":" + held + ",\"here\":" + here + "}";
+                + ",\"applied\":" + applied + ",\"epoch\":" + image.epoch() + ",\"unsent\":" + ensemble.unsent() + ",\"peers\":" + peers
+                + ",\"members\":" + members + ",\"duties\":" + held + ",\"here\":" + here + "}";
     }
 
     private static String text(String s) {
--- a/fleet/src/main/java/streamproxy/fleet/FleetSettings.java
+++ b/fleet/src/main/java/streamproxy/fleet/FleetSettings.java
@@ -19,11 +19,12 @@
  * @param id      the fleet's name; members of another are not heard
  * @param members all of them, with where each listens
  * @param duties  names of duties that the installation's own programs ask for, at {@code /admin/fleet/duty/NAME}
+ * @param joins   whether this member comes to a fleet that runs, and waits to be taken in (only with a new folder)
  * @param turnWaitS how long a router that is to leave waits for its turn, in seconds
  * @param voters  those whose majority decides, three or five; the others follow
  */
 record FleetSettings(String id, String name, Map<String, InetSocketAddress> members, List<String> voters, Path folder, Terms terms,
-        List<String> duties, double turnWaitS) {
+        List<String> duties, double turnWaitS, boolean joins) {
     private static final String SECTION = OperatorFile.FLEET;
     private static final double LEASE_LEAST_S = 0.5;
     private static final double LEASE_MOST_S = 600;
@@ -76,9 +77,13 @@
                 throw file.unusable(SECTION, "duties", duty + " is no name of letters, digits, '.', '_' and '-', or stands there twice");
             }
         }
+        String joins = set.getOrDefault("joins", "no");
+        if (!joins.equals("yes") && !joins.equals("no")) {
+            throw file.unusable(SECTION, "joins", "not yes or no: " + joins);
+        }
         double turnWait = number(file, set, "turn_wait_s", 0, 3_600, TURN_WAIT_S);
         return new FleetSettings(id, name, members, voters, folder, new Terms((long) (leaseS * 1e9), (int) drift, (long) (actMs * 1e6)),
-                duties, turnWait);
+                duties, turnWait, joins.equals("yes"));
     }
 
     private static String need(OperatorFile file, Map<String, String> set, String key) throws Unusable {
@@ -103,7 +108,7 @@
             if (port < 1 || port > 65_535) {
                 throw file.unusable(SECTION, "members", "not NAME HOST:PORT: " + one.strip());
             }
-            if (members.put(words[0], new InetSocketAddress(words[1].substring(0, colon), port)) != null) {
+            if (members.put(words[0], InetSocketAddress.createUnresolved(words[1].substring(0, colon), port)) != null) {
                 throw file.unusable(SECTION, "members", words[0] + " stands there twice");
             }
         }
--- a/fleet/src/main/java/streamproxy/fleet/LedgerMachine.java
+++ b/fleet/src/main/java/streamproxy/fleet/LedgerMachine.java
@@ -5,7 +5,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import java.util.zip.CRC32C;
 import org.apache.ratis.proto.RaftProtos.LogEntryProto;
 import org.apache.ratis.protocol.Message;
@@ -25,6 +24,7 @@
 import org.apache.ratis.util.MD5FileUtil;
 import org.tinylog.Logger;
 import streamproxy.duties.Command;
+import streamproxy.duties.Duty;
 import streamproxy.duties.Ledger;
 import streamproxy.duties.Result;
 
@@ -37,13 +37,21 @@
     private static final int MAGIC = 0x5350464c;
     private static final int HEAD = 8;
 
+    /** Told of what was applied, in the log's order; it must not wait. */
+    interface Applied {
+        /**
+         * @param ledger as it is now; only for this call
+         * @param duty   the one that the command was about; null where any may have changed
+         */
+        void applied(Ledger ledger, String duty);
+    }
+
     private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
-    private final Consumer<Ledger> applied;
+    private final Applied applied;
     private Ledger ledger = new Ledger();
     private String stuck; // why nothing more is applied; null: all is
 
-    /** @param applied is told after each command, in the log's order, and must not wait; the ledger is its for that call */
-    LedgerMachine(Consumer<Ledger> applied) { this.applied = applied; }
+    LedgerMachine(Applied applied) { this.applied = applied; }
 
     @Override public void initialize(RaftServer server, RaftGroupId group, RaftStorage raftStorage) throws IOException {
         super.initialize(server, group, raftStorage);
@@ -76,7 +84,7 @@
                 Command command = Codec.command(entry.getStateMachineLogEntry().getLogData().toByteArray());
                 Result result = ledger.apply(command);
                 updateLastAppliedTermIndex(at);
-                applied.accept(ledger);
+                applied.applied(ledger, command.duty());
                 return CompletableFuture.completedFuture(Message.valueOf(ByteString.copyFrom(Codec.bytes(result))));
             } catch (Codec.Unreadable e) { // written by a newer program: what it changes cannot be known here
                 stuck = "the common log at " + at + ": " + e.getMessage();
@@ -86,6 +94,9 @@
         }
     }
 
+    /** The duty as the ledger has it here now. */
+    synchronized Duty duty(String name) { return ledger.duty(name); }
+
     /** Everything in the ledger now. */
     synchronized Ledger.Image image() { return ledger.image(); }
 
@@ -130,7 +141,7 @@
             throw new IOException(file + ": offset " + HEAD + ": " + e.getMessage());
         }
         setLastAppliedTermIndex(snapshot.getTermIndex());
-        applied.accept(ledger);
+        applied.applied(ledger, null);
     }
 
     private static int sum(byte[] bytes) {
--- a/lab/src/main/java/streamproxy/lab/fleet/DaemonProcess.java
+++ b/lab/src/main/java/streamproxy/lab/fleet/DaemonProcess.java
@@ -78,11 +78,14 @@
     }
 
     /** Calls where operators do; null where nobody answers in time. */
-    public Reply get(String path) {
+    public Reply get(String path) { return call("GET", path); }
+
+    /** The same with a method. */
+    public Reply call(String method, String path) {
         try (Socket socket = new Socket()) {
             socket.connect(operator, CALL_MS);
             socket.setSoTimeout(CALL_MS);
-            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: lab\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: lab\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             String all = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             int body = all.indexOf("\r\n\r\n");
             return body < 0 ? null : new Reply(Integer.parseInt(all.substring(9, 12)), all.substring(body + 4));
--- a/lab/src/main/java/streamproxy/lab/fleet/Daemons.java
+++ b/lab/src/main/java/streamproxy/lab/fleet/Daemons.java
@@ -20,7 +20,9 @@
 
     private final List<DaemonProcess> all = new ArrayList<>();
     private final StandIns boxes;
+    private final Links links;
     private final Path out;
+    private final int count;
 
     /**
      * Makes them; none is started yet.
@@ -29,20 +31,25 @@
      * @param out    where folders, files and logs go
      * @param extra  further lines for {@code [fleet]}
      */
-    public Daemons(Path jar, int count, double leaseS, String extra, Path out) throws IOException {
+    public Daemons(Path jar, int count, double leaseS, String extra, Path out) throws IOException { this(jar, count, 0, leaseS, extra, out); }
+
+    /** The same with some beside them that are to join the others once they run. */
+    public Daemons(Path jar, int count, int joining, double leaseS, String extra, Path out) throws IOException {
         this.out = out;
+        this.count = count;
         boxes = new StandIns(2);
-        List<InetSocketAddress> peers = new ArrayList<>();
+        links = new Links(count + joining);
         StringJoiner members = new StringJoiner(", ");
         for (int i = 0; i < count; i++) {
-            peers.add(RouterProcess.free());
-            members.add("r" + i + " 127.0.0.1:" + peers.get(i).getPort());
+            members.add("r" + i + " " + address(i));
         }
         Path config = Files.writeString(out.resolve("node.json"), boxes.configuration(DESCRIPTORS, MEMORY_MB));
-        for (int i = 0; i < count; i++) {
+        for (int i = 0; i < count + joining; i++) {
             String name = "r" + i;
+            links.hosts(i, out.resolve(name + ".hosts"));
             Path ini = Files.writeString(out.resolve(name + ".ini"), String.format(Locale.ROOT,
-                    "[fleet]%nid = lab%nmembers = %s%nfolder = %s%nlease_s = %s%n%s%n", members, out.resolve(name), leaseS, extra));
+                    "[fleet]%nid = lab%nmembers = %s%nfolder = %s%nlease_s = %s%n%s%n", members + (i < count ? "" : ", " + name + " " + address(i)), out.resolve(name), leaseS,
+                    extra + (i < count ? "" : "\njoins = yes")));
             InetSocketAddress listen = RouterProcess.free();
             InetSocketAddress operator = RouterProcess.free();
             all.add(daemon(jar, name, ini, config, listen, operator));
@@ -52,6 +59,7 @@
     private DaemonProcess daemon(Path jar, String name, Path ini, Path config, InetSocketAddress listen, InetSocketAddress operator) {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(FLAGS);
+        command.add("-Djdk.net.hosts.file=" + out.resolve(name + ".hosts"));
         command.addAll(List.of("-jar", jar.toString(), "daemon", "--operator", ini.toString()));
         Map<String, String> told = Map.of("NODE_NAME", name, "NODE_LISTEN", "127.0.0.1:" + listen.getPort(), "NODE_OPERATOR",
                 "127.0.0.1:" + operator.getPort(), "NODE_DISCOVERY", boxes.listAddress(), "NODE_CONFIG", config.toString());
@@ -66,8 +74,9 @@
         return daemon(jar, name, ini, out.resolve("node.json"), RouterProcess.free(), RouterProcess.free());
     }
 
+    /** Starts all but those that are to join. */
     public void startAll() throws IOException {
-        for (DaemonProcess daemon : all) {
+        for (DaemonProcess daemon : all.subList(0, count)) {
             daemon.start();
         }
     }
@@ -76,8 +85,14 @@
 
     public DaemonProcess get(int i) { return all.get(i); }
 
+    Links links() { return links; }
+
+    /** Where that one listens for the others. */
+    public String address(int i) { return Links.host(i) + ":" + links.port(i); }
+
     @Override public void close() throws IOException {
         all.forEach(DaemonProcess::kill);
+        links.close();
         boxes.close();
     }
 }
--- /dev/null
+++ b/lab/src/main/java/streamproxy/lab/fleet/Drawn.java
@@ -0,0 +1,78 @@
+package streamproxy.lab.fleet;
+
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVPrinter;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.XYSeries;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+import streamproxy.protocol.Json;
+
+/** Acts over time, by router, with the faults drawn in: {@code acts.csv} and {@code acts.png}. */
+final class Drawn {
+    private static final long BUCKET_MS = 250;
+    private static final double MS = 1e6;
+
+    private Drawn() { }
+
+    static void of(Path observed, Path folder) throws IOException {
+        Map<String, TreeMap<Long, Integer>> acts = new TreeMap<>();
+        List<Double> faults = new ArrayList<>();
+        long last = 0;
+        for (String text : Files.readAllLines(observed)) {
+            Map<String, Object> line = Json.object(Json.parse(text));
+            double ms = ((Json.Number) line.get("t")).value() / MS;
+            last = (long) ms / BUCKET_MS;
+            if ("act".equals(line.get("kind")) && Boolean.TRUE.equals(line.get("done"))) {
+                acts.computeIfAbsent((String) line.get("who"), who -> new TreeMap<>()).merge(last, 1, Integer::sum);
+            } else if ("fault".equals(line.get("kind")) && Boolean.TRUE.equals(line.get("begins"))) {
+                faults.add(ms / 1_000);
+            }
+        }
+        if (acts.isEmpty()) {
+            return;
+        }
+        csv(acts, last, folder.resolve("acts.csv"));
+        XYChart chart = new XYChartBuilder().width(1_200).height(420).title("Acts in " + BUCKET_MS + " ms, by the router that held the duty")
+                .xAxisTitle("seconds").yAxisTitle("acts").build();
+        for (Map.Entry<String, TreeMap<Long, Integer>> one : acts.entrySet()) {
+            double[] x = new double[(int) last + 1];
+            double[] y = new double[x.length];
+            for (int i = 0; i < x.length; i++) {
+                x[i] = i * BUCKET_MS / 1_000.0;
+                y[i] = one.getValue().getOrDefault((long) i, 0);
+            }
+            chart.addSeries(one.getKey(), x, y).setMarker(SeriesMarkers.NONE);
+        }
+        if (!faults.isEmpty()) {
+            XYSeries series = chart.addSeries("a fault begins", faults.stream().mapToDouble(f -> f).toArray(), new double[faults.size()]);
+            series.setXYSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Scatter);
+            series.setMarker(SeriesMarkers.TRIANGLE_UP);
+        }
+        BitmapEncoder.saveBitmap(chart, folder.resolve("acts.png").toString(), BitmapEncoder.BitmapFormat.PNG);
+    }
+
+    private static void csv(Map<String, TreeMap<Long, Integer>> acts, long last, Path file) throws IOException {
+        List<String> header = new ArrayList<>(List.of("ms"));
+        header.addAll(acts.keySet());
+        try (BufferedWriter out = Files.newBufferedWriter(file); CSVPrinter printer = new CSVPrinter(out,
+                CSVFormat.DEFAULT.builder().setRecordSeparator('\n').setHeader(header.toArray(new String[0])).build())) {
+            for (long bucket = 0; bucket <= last; bucket++) {
+                List<Object> row = new ArrayList<>(List.of(bucket * BUCKET_MS));
+                for (TreeMap<Long, Integer> of : acts.values()) {
+                    row.add(of.getOrDefault(bucket, 0));
+                }
+                printer.printRecord(row);
+            }
+        }
+    }
+}
--- a/lab/src/test/java/streamproxy/lab/fleet/DutyStories.java
+++ b/lab/src/test/java/streamproxy/lab/fleet/DutyStories.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -15,6 +16,7 @@
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
 import org.junit.rules.Timeout;
+import streamproxy.protocol.Json;
 
 /** Three routers as processes, and what happens to one duty as they are killed, stalled and told to leave. */
 public class DutyStories {
@@ -31,7 +33,7 @@
 
     @Before public void three() throws Exception {
         assertTrue(JAR + " is built before this module's tests", Files.exists(JAR));
-        fleet = new Daemons(JAR, 3, LEASE_S, "duties = " + DUTY + "\nturn_wait_s = 60", folder.getRoot().toPath());
+        fleet = new Daemons(JAR, 3, 1, LEASE_S, "duties = " + DUTY + "\nturn_wait_s = 60", folder.getRoot().toPath());
         fleet.startAll();
         observed = new Observed(folder.getRoot().toPath().resolve("observed.jsonl"));
         actors = new Actors(fleet, List.of(DUTY), observed);
@@ -69,10 +71,20 @@
         Actors.Last next = awaitAct("another holds it", fence);
         assertTrue(!next.who().equals(killed.name()));
         killed.start();
-        DaemonProcess.await("it is a member again", 60, () -> Boolean.TRUE.equals(killed.status().get("member")));
+        DaemonProcess.await("it is a member again", 60, () -> isMember(killed));
         assertEquals(next.who(), actors.last(DUTY).who());
     }
 
+    @Test public void aHolderThatIsAskedToHandsOnToWhomItIsAskedFor() throws Exception {
+        String from = holder().name();
+        long fence = actors.last(DUTY).fence();
+        DaemonProcess to = fleet.all().stream().filter(d -> !d.name().equals(from)).findFirst().orElseThrow();
+        DaemonProcess.await("it is a member", 60, () -> isMember(to));
+        assertEquals(200, to.call("POST", "/admin/fleet/hand-on/" + DUTY + "/" + to.name()).status());
+        assertEquals(to.name(), awaitAct("another holds it", fence).who());
+        assertEquals("no such member", 409, to.call("POST", "/admin/fleet/hand-on/" + DUTY + "/r9").status());
+    }
+
     @Test public void aHolderThatIsStalledForLongerThanItsLeaseHoldsNothingWhenItGoesOn() throws Exception {
         DaemonProcess stalled = holder();
         long fence = actors.last(DUTY).fence();
@@ -83,6 +95,23 @@
         assertTrue("its lease is over by its own clock", !holds(stalled));
     }
 
+    @Test public void aHolderThatNobodyHearsGivesUpByItselfBeforeAnotherBegins() throws Exception {
+        DaemonProcess deaf = holder();
+        long fence = actors.last(DUTY).fence();
+        int who = fleet.all().indexOf(deaf);
+        for (int other = 0; other < 3; other++) {
+            if (other != who) {
+                fleet.links().set(who, other, Links.State.SILENT); // what it sends; it hears the others still
+            }
+        }
+        awaitAct("another holds it", fence);
+        assertTrue("it is asked after the other has acted", !holds(deaf));
+        fleet.links().around(who, Links.State.CUT);
+        assertEquals("it serves", 200, deaf.get("/admin/health").status());
+        fleet.links().around(who, Links.State.OPEN);
+        DaemonProcess.await("it hears who leads", 60, () -> follows(deaf));
+    }
+
     @Test public void withoutAMajorityNobodyHoldsAndEverybodyServes() throws Exception {
         long fence = actors.last(DUTY).fence();
         DaemonProcess left = fleet.get(2);
@@ -106,6 +135,39 @@
         assertTrue(times.toString(), times.get(firstBefore ? 1 : 3).compareTo(times.get(firstBefore ? 2 : 0)) <= 0);
     }
 
+    @Test public void oneJoinsOneLeavesForGoodAndComesBackUnderItsNameWithAnEmptyFolder() throws Exception {
+        DaemonProcess asked = fleet.get(0);
+        DaemonProcess fourth = fleet.get(3);
+        fourth.start();
+        DaemonProcess.await("it answers", 60, () -> !fourth.status().isEmpty());
+        assertEquals(202, asked.call("POST", "/admin/fleet/join/r3/" + fleet.address(3)).status());
+        DaemonProcess.await("the fourth is in, and follows", 60, () -> isMember(fourth) && follows(fourth) && in(asked, "r3"));
+        DaemonProcess leaves = fleet.get(1);
+        DaemonProcess.await("no other change is under way", 60, () -> asked.call("POST", "/admin/fleet/leave/r1").status() == 202);
+        DaemonProcess.await("it is out", 60, () -> asked.status().containsKey("peers") && !in(asked, "r1"));
+        leaves.kill();
+        try (Stream<Path> inside = Files.walk(folder.getRoot().toPath().resolve("r1"))) {
+            inside.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        }
+        DaemonProcess again = fleet.like(JAR, leaves, "[fleet]", "[fleet]\njoins = yes");
+        again.start();
+        try {
+            DaemonProcess.await("it answers", 60, () -> !again.status().isEmpty());
+            DaemonProcess.await("it is taken in", 60, () -> asked.call("POST", "/admin/fleet/join/r1/" + fleet.address(1) + "/votes").status() == 202);
+            DaemonProcess.await("it is in again", 60, () -> isMember(again) && follows(again) && in(asked, "r1"));
+        } finally {
+            again.kill();
+        }
+    }
+
+    private static boolean follows(DaemonProcess daemon) { return !"".equals(daemon.status().getOrDefault("leader", "")); }
+
+    private static boolean in(DaemonProcess asked, String name) {
+        return asked.status().get("peers") instanceof List<?> peers && peers.stream().anyMatch(p -> name.equals(Json.object(p).get("name")));
+    }
+
+    private static boolean isMember(DaemonProcess daemon) { return Boolean.TRUE.equals(daemon.status().get("member")); }
+
     @Test public void aFolderOfAnotherProcessOrAnotherFleetIsRefusedInOneLine() throws Exception {
         assertEquals(List.of("another process runs from this folder"), refusal("lease_s", "lease_s"));
         fleet.get(0).kill();
--- a/records/src/main/java/streamproxy/records/Event.java
+++ b/records/src/main/java/streamproxy/records/Event.java
@@ -14,7 +14,7 @@
     enum Kind {
         ATTEMPT(Rank.ATTEMPTS), ANSWER(Rank.ANSWERS), REFUSAL(Rank.REFUSALS), FAILURE(Rank.REFUSALS), BOX(Rank.STATE),
         LIST(Rank.STATE), RELOAD(Rank.STATE), PHASE(Rank.STATE), QUEUE(Rank.STATE), PROBE(Rank.ATTEMPTS),
-        STANDSTILL(Rank.STATE);
+        STANDSTILL(Rank.STATE), DUTY(Rank.STATE);
 
         private final Rank rank;
 
@@ -117,6 +117,11 @@
         @Override public Kind kind() { return Kind.STANDSTILL; }
     }
 
+    /** A duty that this router seeks among its fleet stands otherwise than before; {@code fence} is what its acts bear. */
+    record DutyChanged(long atMs, String duty, String state, String before, long fence) implements Event {
+        @Override public Kind kind() { return Kind.DUTY; }
+    }
+
     /**
      * What became of records on their way to a collector since its last such record.
      *
--- a/records/src/main/java/streamproxy/records/Shape.java
+++ b/records/src/main/java/streamproxy/records/Shape.java
@@ -64,6 +64,11 @@
                     .ms(Names.STANDSTILL_FOR, e.forNs()).text(Names.STANDSTILL_WHERE, e.where()).in("standstill");
             return told(event, Told.WARNING, said, e.who() + (e.stands() ? " stood still for " : " turns again after ") + millis(e.forNs())
                     + " ms");
+        } else if (event instanceof Event.DutyChanged e) {
+            List<Told.Element> said = new Params().text(Names.DUTY_NAME, e.duty()).text(Names.DUTY_STATE, e.state())
+                    .text(Names.DUTY_BEFORE, e.before()).count(Names.DUTY_FENCE, e.fence()).in("duty");
+            boolean lapsed = e.state().equals("watching") && e.before().equals("holding");
+            return told(event, lapsed ? Told.WARNING : Told.NOTICE, said, "duty " + e.duty() + ": " + e.state() + " after " + e.before());
         }
         return queue((Event.QueueState) event);
     }
--- a/router/src/main/java/streamproxy/program/Fleet.java
+++ b/router/src/main/java/streamproxy/program/Fleet.java
@@ -1,6 +1,8 @@
 package streamproxy.program;
 
 import java.io.IOException;
+import java.util.function.Consumer;
+import streamproxy.records.Event;
 
 /** What a router asks of the others of its fleet. Alone it has none, and nothing of this costs anything. */
 public interface Fleet {
@@ -14,10 +16,13 @@
     default void left() throws IOException, InterruptedException { }
 
     /**
-     * Answers an operator's {@code GET} of a path under {@code /admin/fleet}; null where there is no such call, as for a
-     * router alone.
+     * Answers an operator's call of a path under {@code /admin/fleet} within half a second; null where there is no such
+     * call, as for a router alone.
      */
-    default Reply call(String path) { return null; }
+    default Reply call(String method, String path) { return null; }
+
+    /** Whom to tell what becomes of duties: once, before the router starts. Null where nobody wants records. */
+    default void tell(Consumer<Event> records) { }
 
     /** An answer to an operator: a status of HTTP and JSON. */
     record Reply(int status, String json) { }
--- a/router/src/main/java/streamproxy/program/OperatorCalls.java
+++ b/router/src/main/java/streamproxy/program/OperatorCalls.java
@@ -19,7 +19,7 @@
  *
  * <ul>
  * <li>{@code GET /admin/health}: 200 once this process can serve, else 503;
- * <li>{@code GET /admin/fleet} and paths below it: what the fleet answers ({@link Fleet#call}); 404 for a router alone;
+ * <li>{@code /admin/fleet} and paths below it: what the fleet answers ({@link Fleet#call}); 404 for a router alone;
  * <li>{@code POST /admin/quiesce}: 200, and clients are sent away ({@link Lifecycle#quiesce});
  * <li>{@code POST /admin/resume}: 200, and they come again; both are 409 once the program leaves.
  * </ul>
@@ -38,7 +38,7 @@
         boolean quiesce(boolean away);
 
         /** What {@link Fleet#call} answers. */
-        Fleet.Reply fleet(String path);
+        Fleet.Reply fleet(String method, String path);
     }
 
     static final int AT_ONCE = 64;
@@ -107,11 +107,11 @@
 
     private void answer(HttpHead head, HttpWriter writer) throws IOException {
         String path = head.path();
-        Fleet.Reply fleet = path.startsWith("/admin/fleet") && head.method().equals("GET") ? desk.fleet(path) : null;
+        Fleet.Reply fleet = path.startsWith("/admin/fleet") ? desk.fleet(head.method(), path) : null;
         String method = switch (path) {
             case "/admin/health" -> "GET";
             case "/admin/quiesce", "/admin/resume" -> "POST";
-            default -> fleet == null ? null : "GET";
+            default -> fleet == null ? null : head.method();
         };
         if (method == null) {
             writer.answer(404, "no such call", true);
--- a/router/src/main/java/streamproxy/program/Recording.java
+++ b/router/src/main/java/streamproxy/program/Recording.java
@@ -49,6 +49,9 @@
 
     Records records() { return records; }
 
+    /** Where events go; null where nobody wants any. */
+    Consumer<Event> to() { return to; }
+
     Syslog.Counts counts() { return syslog == null ? null : syslog.counts(); }
 
     void start() {
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -72,6 +72,7 @@
         this.fleet = fleet;
         this.config = config;
         recording = Recording.of(operator, config.seed());
+        fleet.tell(recording.to());
         watchdog = new Watchdog(recording.records());
         lifecycle = new Lifecycle(recording::phase);
         Clock clock = new Clock();
@@ -103,7 +104,7 @@
         operatorCalls = config.operator() == null ? null : new OperatorCalls(config.operator(), new OperatorCalls.Desk() {
             @Override public boolean health() { return lifecycle.serving() && module.knowsBoxes(); }
 
-            @Override public Fleet.Reply fleet(String path) { return fleet.call(path); }
+            @Override public Fleet.Reply fleet(String method, String path) { return fleet.call(method, path); }
 
             @Override public boolean quiesce(boolean away) {
                 boolean done = lifecycle.quiesce(away);
--- a/router/src/test/java/streamproxy/protocol/OperatorFileTest.java
+++ b/router/src/test/java/streamproxy/protocol/OperatorFileTest.java
@@ -88,7 +88,7 @@
         for (String line : text.lines().toList()) {
             Matcher named = Pattern.compile("(?:; )?\\[([\\w ]+)]").matcher(line);
             section = named.matches() ? named.group(1) : section;
-            Matcher key = Pattern.compile("; (\\w+) =(?: (\\S+))?").matcher(line);
+            Matcher key = Pattern.compile("; (\\w+) =(?: (.+))?").matcher(line);
             if (key.matches() && OperatorFile.textKeys(section) != null) {
                 assertTrue(texts.computeIfAbsent(section, s -> new java.util.HashSet<>()).add(key.group(1)), line);
             } else if (key.matches()) {
@@ -99,7 +99,7 @@
             }
         }
         assertEquals(Key.values().length, keys);
-        assertEquals(2, texts.size());
+        assertEquals(3, texts.size());
         texts.forEach((named, words) -> assertEquals(OperatorFile.textKeys(named), words));
     }
 }
