--- a/decision/src/main/java/streamproxy/duties/Command.java
+++ b/decision/src/main/java/streamproxy/duties/Command.java
@@ -31,7 +31,7 @@
      * @param terms   what the fleet reckons leases by; all members must have the same
      * @param replace whether the member may come with another folder than the one it is known by
      */
-    record Open(From from, long folder, long start, Terms terms, boolean replace) implements Command { }
+    record Open(From from, long folder, long start, LeaseTimes terms, boolean replace) implements Command { }
 
     /** The member leaves for good: its duties are free once they lapse, its name may come again with any folder. */
     record Depart(From from, String who) implements Command { }
@@ -60,7 +60,7 @@
      */
     record Vacate(From from, String duty, long fence, long renewals) implements Command { }
 
-    /** Tells what the member's ledger summed up to at that place of the log; see {@link Marks}. It changes nothing. */
+    /** Tells what the member's ledger summed up to at that place of the log; see {@link DivergenceCheck}. It changes nothing. */
     record Mark(From from, long place, int sum) implements Command { }
 
     /** Asks the holder, whoever it is, to hand the duty on; {@code to} is empty where anybody may have it. */
--- a/decision/src/main/java/streamproxy/duties/Marks.java
+++ b/decision/src/main/java/streamproxy/duties/DivergenceCheck.java
@@ -9,7 +9,7 @@
  * another, has gone apart and must act by its ledger no more. The majority's word is taken, not a leader's: whoever leads
  * may be the one that is wrong. One thread at a time may use it.
  */
-public final class Marks {
+public final class DivergenceCheck {
     /** A sum is taken at every place that this divides: often enough to find a fault within minutes, seldom enough to cost nothing. */
     public static final long EVERY = 1_000;
     private static final int PLACES = 4;
--- a/decision/src/main/java/streamproxy/duties/Lease.java
+++ b/decision/src/main/java/streamproxy/duties/Lease.java
@@ -52,7 +52,7 @@
     private final String duty;
     private final String member;
     private final long session;
-    private final Terms terms;
+    private final LeaseTimes terms;
     private final long settleNs;
     private final LongSupplier numbers;
 
@@ -84,7 +84,7 @@
      *                 acted on compares fences itself
      * @param numbers  gives numbers for commands, each once in this session
      */
-    public Lease(String duty, String member, long session, Terms terms, long settleNs, LongSupplier numbers) {
+    public Lease(String duty, String member, long session, LeaseTimes terms, long settleNs, LongSupplier numbers) {
         this.duty = duty;
         this.member = member;
         this.session = session;
--- a/decision/src/main/java/streamproxy/duties/Terms.java
+++ b/decision/src/main/java/streamproxy/duties/LeaseTimes.java
@@ -7,13 +7,13 @@
  * @param driftPpm how much faster or slower a monotonic clock may run than true time, in parts per million
  * @param actNs    how long an act of a holder may take, in nanoseconds: none begins later than that before the lease's end
  */
-public record Terms(long leaseNs, int driftPpm, long actNs) {
+public record LeaseTimes(long leaseNs, int driftPpm, long actNs) {
     private static final int WHOLE = 1_000_000;
     /** Beyond this a clock is broken, and so would be the reckoning. */
     private static final int DRIFT_MOST = 200_000;
     private static final long LEASE_MOST = 3_600_000_000_000L;
 
-    public Terms {
+    public LeaseTimes {
         if (driftPpm < 0 || driftPpm > DRIFT_MOST) {
             throw new IllegalArgumentException("drift of " + driftPpm + " ppm, not 0 to " + DRIFT_MOST);
         }
--- a/decision/src/main/java/streamproxy/duties/Ledger.java
+++ b/decision/src/main/java/streamproxy/duties/Ledger.java
@@ -31,11 +31,11 @@
     private final TreeMap<String, Member> members = new TreeMap<>();
     private final TreeMap<String, Duty> duties = new TreeMap<>();
     private final TreeMap<String, Session> sessions = new TreeMap<>();
-    private Terms terms;
+    private LeaseTimes terms;
     private long epoch;
 
     /** Everything in it, in a fixed order, for snapshots and comparison. */
-    public record Image(Terms terms, long epoch, List<Member> members, List<Duty> duties, List<Answer> answers) {
+    public record Image(LeaseTimes terms, long epoch, List<Member> members, List<Duty> duties, List<Answer> answers) {
         public Image {
             members = List.copyOf(members);
             duties = List.copyOf(duties);
@@ -70,7 +70,7 @@
     public long epoch() { return epoch; }
 
     /** What leases are reckoned by; null before the first member came in. */
-    public Terms terms() { return terms; }
+    public LeaseTimes terms() { return terms; }
 
     public Collection<Member> members() { return Collections.unmodifiableCollection(members.values()); }
 
--- a/decision/src/main/java/streamproxy/duties/Presence.java
+++ b/decision/src/main/java/streamproxy/duties/Presence.java
@@ -9,7 +9,7 @@
 /**
  * Who of the members lives, the same for all that have applied the same of the {@link Ledger}, and from when to when this
  * member may go by it. Each member holds a duty that nobody else asks for, its presence ({@link #of}); the others watch it,
- * and say that it is over once it was silent for its lease. What is divided among those who live, as by {@link Ranks}, is
+ * and say that it is over once it was silent for its lease. What is divided among those who live, as by {@link RendezvousOrder}, is
  * then in one hand at a time:
  *
  * <ul>
@@ -45,7 +45,7 @@
 
     private final String member;
     private final long session;
-    private final Terms terms;
+    private final LeaseTimes terms;
     private final LongSupplier numbers;
     private final TreeMap<String, Seen> seen = new TreeMap<>(); // by duty
     private final TreeMap<String, Said> said = new TreeMap<>(); // by duty
@@ -54,7 +54,7 @@
     private boolean present;
 
     /** @param numbers gives numbers for commands, each once in this session */
-    public Presence(String member, long session, Terms terms, LongSupplier numbers) {
+    public Presence(String member, long session, LeaseTimes terms, LongSupplier numbers) {
         this.member = member;
         this.session = session;
         this.terms = terms;
@@ -130,7 +130,7 @@
         if (last != null) {
             return last.refused ? Long.MAX_VALUE : last.at + terms.leaseNs() / RESENDS;
         }
-        return one.at + waitNs() + Ranks.of(one.duty.name(), member, view.live) * Math.min(step, 100_000_000L);
+        return one.at + waitNs() + RendezvousOrder.of(one.duty.name(), member, view.live) * Math.min(step, 100_000_000L);
     }
 
     // ---- The lines that tests break one by one --------------------------------------------------------
--- a/decision/src/main/java/streamproxy/duties/Ranks.java
+++ b/decision/src/main/java/streamproxy/duties/RendezvousOrder.java
@@ -7,8 +7,8 @@
  * Increase Hit Rates", IEEE/ACM Transactions on Networking 6(1), 1998). Each duty has an order of all members of its own,
  * the same at every member; when one goes, only what it held moves, and it moves to many.
  */
-public final class Ranks {
-    private Ranks() { }
+public final class RendezvousOrder {
+    private RendezvousOrder() { }
 
     /** How many of these members stand before that one. */
     public static int of(String duty, String member, Collection<String> members) {
--- a/decision/src/main/java/streamproxy/duties/Lag.java
+++ b/decision/src/main/java/streamproxy/duties/ReplicationLag.java
@@ -4,7 +4,7 @@
  * How long a member's replica has been behind what the member was told by the others: a disk that is full, or a link on
  * which nothing of the log comes. It has no clock; one thread at a time may use it.
  */
-public final class Lag {
+public final class ReplicationLag {
     private static final long NONE = Long.MIN_VALUE;
 
     private long applied = -1;
--- a/decision/src/main/java/streamproxy/duties/Share.java
+++ b/decision/src/main/java/streamproxy/duties/Share.java
@@ -22,7 +22,7 @@
             return;
         }
         perS = grant.perS();
-        until = from(askedAt, now) + new Terms(grant.forNs(), driftPpm, 0).heldNs();
+        until = from(askedAt, now) + new LeaseTimes(grant.forNs(), driftPpm, 0).heldNs();
     }
 
     /** What it may use now, a second. */
--- a/decision/src/main/java/streamproxy/duties/Shares.java
+++ b/decision/src/main/java/streamproxy/duties/Shares.java
@@ -42,7 +42,7 @@
      * @param first    whether there was certainly no steward for that box before
      */
     public Shares(double perS, long lengthNs, int driftPpm, long now, boolean first) {
-        Terms terms = new Terms(lengthNs, driftPpm, 0);
+        LeaseTimes terms = new LeaseTimes(lengthNs, driftPpm, 0);
         this.perS = perS;
         this.lengthNs = lengthNs;
         countedNs = terms.waitedNs();
--- a/decision/src/main/java/streamproxy/duties/Following.java
+++ b/decision/src/main/java/streamproxy/duties/WatchFollower.java
@@ -8,7 +8,7 @@
  *
  * <p>It has no clock; one thread at a time may use it.
  */
-public final class Following {
+public final class WatchFollower {
     /** A holder that has not answered for so long is taken to be silent. */
     static final long SILENT_NS = 1_500_000_000L;
     /**
@@ -30,7 +30,7 @@
     private long goodSince;
 
     /** It begins without a watch, and waits for a holder as long as for one that falls silent. */
-    public Following(long now) {
+    public WatchFollower(long now) {
         answeredAt = now;
         watchHeardAt = now;
         goodSince = now;
--- a/decision/src/main/java/streamproxy/limits/Admission.java
+++ b/decision/src/main/java/streamproxy/limits/Admission.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
-import streamproxy.limits.Willing.Rank;
+import streamproxy.limits.EvictionOrder.Rank;
 
 /**
  * Which clients' connections a router takes, keeps and lets ask: it counts the idle and the active ones, those of each
@@ -24,7 +24,7 @@
     }
 
     /** One client's connection as the admission counts it. */
-    public abstract static class Guest extends Willing.Place {
+    public abstract static class Guest extends EvictionOrder.Place {
         private Address address; // null where addresses are not counted
         private boolean active;
         private boolean counted;
@@ -43,7 +43,7 @@
 
     private static final double LEFT_TO_CLIENTS = 0.9;
 
-    private final Willing willing;
+    private final EvictionOrder willing;
     private final Map<Object, Address> addresses = new HashMap<>();
     private ConnectionLimits limits;
     private int held;
@@ -55,7 +55,7 @@
     /** Requests that have been coming for less than {@code slowNs} are not given up for others. */
     public Admission(ConnectionLimits limits, long slowNs) {
         this.limits = Objects.requireNonNull(limits, "limits");
-        willing = new Willing(slowNs);
+        willing = new EvictionOrder(slowNs);
     }
 
     /** Other limits from now on; what is held beyond them stays until it ends by itself. */
--- a/decision/src/main/java/streamproxy/limits/Ring.java
+++ b/decision/src/main/java/streamproxy/limits/IntrusiveList.java
@@ -4,15 +4,15 @@
  * A ring of links in order of entry: entering, leaving from anywhere and finding either end cost the same however many
  * there are, and nothing is allocated, as the members are its links. A link stands in one ring at a time. Not thread-safe.
  */
-public final class Ring<L extends Ring.Link> {
+public final class IntrusiveList<L extends IntrusiveList.Link> {
     /** A member, or to be one. */
     public abstract static class Link {
         private Link before;
         private Link after; // null where it stands in no ring
-        private Ring<?> in;
+        private IntrusiveList<?> in;
 
         /** The ring in which it stands; null for none. */
-        public final Ring<?> ring() { return in; }
+        public final IntrusiveList<?> ring() { return in; }
     }
 
     private static final class Head extends Link { }
@@ -20,7 +20,7 @@
     private final Link head = new Head();
     private int size;
 
-    public Ring() {
+    public IntrusiveList() {
         head.before = head;
         head.after = head;
     }
--- a/decision/src/main/java/streamproxy/limits/ComeBack.java
+++ b/decision/src/main/java/streamproxy/limits/RetryAfterSchedule.java
@@ -7,7 +7,7 @@
  * together again; so the times are spread over as long as the router needs to take them in, drawn evenly, and bounded by
  * the longest wait that clients heed.
  */
-public final class ComeBack {
+public final class RetryAfterSchedule {
     private static final double SECOND = 1e9;
     /** Time over which those turned away are counted. */
     private static final double MEMORY_S = 2;
@@ -18,7 +18,7 @@
     private double turnedAway;
     private long at;
 
-    public ComeBack(long seed) { random = new SplittableRandom(seed); }
+    public RetryAfterSchedule(long seed) { random = new SplittableRandom(seed); }
 
     /**
      * One more is turned away now.
--- a/decision/src/main/java/streamproxy/limits/Pace.java
+++ b/decision/src/main/java/streamproxy/limits/TokenBucket.java
@@ -4,7 +4,7 @@
  * So many in a second, evenly: a token bucket (RFC 2697's meter with one colour) that holds a tenth of a second's worth.
  * The caller brings the time, in nanoseconds.
  */
-public final class Pace {
+public final class TokenBucket {
     private static final double SECOND = 1e9;
     private static final double HELD_S = 0.1;
 
@@ -13,7 +13,7 @@
     private long at;
 
     /** At most {@code perS} a second from {@code now} on; infinity for as many as come. */
-    public Pace(double perS, long now) {
+    public TokenBucket(double perS, long now) {
         at = now;
         change(perS);
         saved = held();
--- a/decision/src/main/java/streamproxy/streams/Gaps.java
+++ b/decision/src/main/java/streamproxy/streams/GapHistogram.java
@@ -5,7 +5,7 @@
  * a millisecond on, in 40 bytes. When one is full all are halved, so that what was long ago weighs less. Not
  * thread-safe.
  */
-final class Gaps {
+final class GapHistogram {
     private static final int LEAST_SHIFT = 20; // about a millisecond
     private static final int PER_OCTAVE = 2;
     private static final int MOST = Byte.MAX_VALUE;
--- a/decision/src/main/java/streamproxy/streams/Together.java
+++ b/decision/src/main/java/streamproxy/streams/StallCorrelator.java
@@ -7,7 +7,7 @@
  * Tells streams that stall together from one that does. A box whose streams fall silent at once has one fault, and is
  * told to the module once, not once for each. Times are nanoseconds of the caller's clock. Not thread-safe.
  */
-public final class Together {
+public final class StallCorrelator {
     private static final class Box {
         int flowing;
         int stalled;
@@ -21,7 +21,7 @@
     private final int least;
 
     /** A box is told of once, within the window, at least {@code least} and that share of its streams have stalled. */
-    public Together(long windowNs, double share, int least) {
+    public StallCorrelator(long windowNs, double share, int least) {
         this.windowNs = windowNs;
         this.share = share;
         this.least = least;
--- a/decision/src/main/java/streamproxy/streams/StreamState.java
+++ b/decision/src/main/java/streamproxy/streams/StreamState.java
@@ -49,7 +49,7 @@
     private static final int LOW_SHARE = 2;
 
     private final StreamLimits limits;
-    private final Gaps gaps = new Gaps();
+    private final GapHistogram gaps = new GapHistogram();
     private Phase phase = Phase.OPENING;
     private long held;
     private long passed;
--- a/decision/src/main/java/streamproxy/timing/Turning.java
+++ b/decision/src/main/java/streamproxy/timing/StallDetector.java
@@ -5,7 +5,7 @@
  * now and then, and has neither a clock nor a thread. Time in which nobody could look, as the whole process stood still,
  * is counted as one look's worth: it is no fault of the one that is watched.
  */
-public final class Turning {
+public final class StallDetector {
     /** What a look has found. */
     public enum Found {
         /** Nothing that is not known already. */
@@ -27,7 +27,7 @@
      * @param longestNs how long it may stand still, in nanoseconds
      * @param lookNs    how often it is looked at, in nanoseconds
      */
-    public Turning(long longestNs, long lookNs) {
+    public StallDetector(long longestNs, long lookNs) {
         if (lookNs <= 0 || longestNs < lookNs) {
             throw new IllegalArgumentException("longest " + longestNs + " ns, looked at every " + lookNs + " ns");
         }
--- a/decision/src/test/java/streamproxy/duties/MarksTest.java
+++ b/decision/src/test/java/streamproxy/duties/DivergenceCheckTest.java
@@ -4,9 +4,9 @@
 
 import org.junit.jupiter.api.Test;
 
-class MarksTest {
-    private static final long AT = 3 * Marks.EVERY;
-    private final Marks marks = new Marks();
+class DivergenceCheckTest {
+    private static final long AT = 3 * DivergenceCheck.EVERY;
+    private final DivergenceCheck marks = new DivergenceCheck();
 
     @Test void oneThatDiffersFromMostHasGoneApartAndMostHaveNot() {
         marks.own(AT, 7);
@@ -29,7 +29,7 @@
 
     @Test void onlyTheNewestPlacesAreKept() {
         marks.own(AT, 7);
-        for (long place = AT + Marks.EVERY; place <= AT + 9 * Marks.EVERY; place += Marks.EVERY) {
+        for (long place = AT + DivergenceCheck.EVERY; place <= AT + 9 * DivergenceCheck.EVERY; place += DivergenceCheck.EVERY) {
             marks.own(place, 1);
             marks.told("r0", place, 1);
         }
--- a/decision/src/test/java/streamproxy/duties/ExplorerTest.java
+++ b/decision/src/test/java/streamproxy/duties/ExplorerTest.java
@@ -21,7 +21,7 @@
 class ExplorerTest {
     /** Three of them fall between the end of a wait without drift and that of a lease on a slow clock. */
     private static final long TICK = 32;
-    private static final Terms TERMS = new Terms(100, World.DRIFT_PPM, 0);
+    private static final LeaseTimes TERMS = new LeaseTimes(100, World.DRIFT_PPM, 0);
     private static final int TICKS = 4;
 
     /** One step: its kind, and whom or what it concerns. */
--- a/decision/src/test/java/streamproxy/duties/LedgerTest.java
+++ b/decision/src/test/java/streamproxy/duties/LedgerTest.java
@@ -9,7 +9,7 @@
 import streamproxy.duties.Result.Why;
 
 class LedgerTest {
-    private static final Terms TERMS = new Terms(1_000, 50_000, 10);
+    private static final LeaseTimes TERMS = new LeaseTimes(1_000, 50_000, 10);
     private static final Result DONE = new Result.Done();
     private Ledger ledger = new Ledger();
 
@@ -61,7 +61,7 @@
         assertEquals(refused(Why.NO_SESSION), open("a", 13, 1, 2, false), "one from a copy of the folder");
         assertEquals(refused(Why.NO_SESSION), ledger.apply(new Command.Take(from("a", 11, 2), "d", 0, 0)));
         assertEquals(refused(Why.OTHER_FOLDER), open("a", 14, 9, 7, false));
-        assertEquals(refused(Why.OTHER_TERMS), ledger.apply(new Command.Open(from("b", 21, 1), 2, 1, new Terms(2_000, 0, 0), false)));
+        assertEquals(refused(Why.OTHER_TERMS), ledger.apply(new Command.Open(from("b", 21, 1), 2, 1, new LeaseTimes(2_000, 0, 0), false)));
         long epoch = ledger.epoch();
         assertEquals(DONE, open("a", 14, 9, 1, true));
         assertEquals(epoch + 1, ledger.epoch(), "replaced by one with an empty folder");
@@ -79,10 +79,10 @@
     }
 
     @Test void termsThatNoReckoningHoldsForAreRefused() {
-        assertThrows(IllegalArgumentException.class, () -> new Terms(1_000, 50_000, 251));
-        assertThrows(IllegalArgumentException.class, () -> new Terms(0, 0, 0));
-        assertThrows(IllegalArgumentException.class, () -> new Terms(1_000, 200_001, 0));
-        Terms odd = new Terms(999, 50_000, 0);
+        assertThrows(IllegalArgumentException.class, () -> new LeaseTimes(1_000, 50_000, 251));
+        assertThrows(IllegalArgumentException.class, () -> new LeaseTimes(0, 0, 0));
+        assertThrows(IllegalArgumentException.class, () -> new LeaseTimes(1_000, 200_001, 0));
+        LeaseTimes odd = new LeaseTimes(999, 50_000, 0);
         assertTrue(odd.heldNs() <= 999 * 0.95 && odd.waitedNs() >= 999 * 1.05, "rounded to the safe side");
     }
 }
--- a/decision/src/test/java/streamproxy/duties/PresenceTest.java
+++ b/decision/src/test/java/streamproxy/duties/PresenceTest.java
@@ -20,7 +20,7 @@
 
     private static final long MS = 1_000_000L;
     private static final double DRIFT = 0.05;
-    private static final Terms TERMS = new Terms(1_000 * MS, 50_000, 20 * MS);
+    private static final LeaseTimes TERMS = new LeaseTimes(1_000 * MS, 50_000, 20 * MS);
     private static final int STEPS = 1_500;
     private static final int BOXES = 8;
 
@@ -105,7 +105,7 @@
         }
 
         boolean owns(String box) {
-            return division.settled && clock() < division.until && Ranks.of(box, name, division.view.live()) == 0;
+            return division.settled && clock() < division.until && RendezvousOrder.of(box, name, division.view.live()) == 0;
         }
     }
 
--- a/decision/src/test/java/streamproxy/duties/SimulationTest.java
+++ b/decision/src/test/java/streamproxy/duties/SimulationTest.java
@@ -19,7 +19,7 @@
  */
 class SimulationTest {
     private static final long MS = 1_000_000L;
-    private static final Terms TERMS = new Terms(1_000 * MS, World.DRIFT_PPM, 20 * MS);
+    private static final LeaseTimes TERMS = new LeaseTimes(1_000 * MS, World.DRIFT_PPM, 20 * MS);
     private static final int STEPS = 1_200;
 
     /** What a walk came to. */
--- a/decision/src/test/java/streamproxy/duties/FollowingTest.java
+++ b/decision/src/test/java/streamproxy/duties/WatchFollowerTest.java
@@ -11,15 +11,15 @@
 import org.junit.jupiter.api.Test;
 
 /** A member that follows another's watch, through silences of each kind; and what such a member is told. */
-class FollowingTest {
+class WatchFollowerTest {
     private static final long MS = 1_000_000;
     private static final long TICK = 50 * MS;
-    private static final long LATEST = Following.WATCH_QUIET_NS + Following.STEPS_MOST_NS + 4 * TICK;
+    private static final long LATEST = WatchFollower.WATCH_QUIET_NS + WatchFollower.STEPS_MOST_NS + 4 * TICK;
 
     /** One hour of a holder that dies, falls silent, loses its watch or is behind; when each version was known late, or -1. */
     private static long play(long seed, boolean heedsQuiet, boolean heedsBehind) {
         SplittableRandom random = new SplittableRandom(seed);
-        Following follower = new Following(0);
+        WatchFollower follower = new WatchFollower(0);
         follower.rank(random.nextInt(30));
         long service = 1;
         long toldAt = 0;
@@ -75,11 +75,11 @@
     }
 
     @Test void aWatchIsKeptUntilTheHolderHasBeenGoodForAWhile() {
-        Following follower = new Following(0);
-        assertTrue(!follower.own(Following.SILENT_NS - 1) && follower.own(Following.SILENT_NS));
-        long now = Following.SILENT_NS + MS;
+        WatchFollower follower = new WatchFollower(0);
+        assertTrue(!follower.own(WatchFollower.SILENT_NS - 1) && follower.own(WatchFollower.SILENT_NS));
+        long now = WatchFollower.SILENT_NS + MS;
         follower.answered(now, now, 0, true);
-        assertTrue(follower.own(now) && follower.own(now + Following.SETTLED_NS - 1) && !follower.own(now + Following.SETTLED_NS));
+        assertTrue(follower.own(now) && follower.own(now + WatchFollower.SETTLED_NS - 1) && !follower.own(now + WatchFollower.SETTLED_NS));
     }
 
     /** Any follower, asking at any time, comes to know exactly the boxes that the service named last. */
--- a/decision/src/test/java/streamproxy/duties/World.java
+++ b/decision/src/test/java/streamproxy/duties/World.java
@@ -28,15 +28,15 @@
     private static final double DRIFT = DRIFT_PPM / 1e6;
 
     private static final class LeaseFromAnswer extends Lease {
-        LeaseFromAnswer(Node n, Terms t) { super(DUTY, n.name, n.session, t, 0, () -> ++n.numbers); }
+        LeaseFromAnswer(Node n, LeaseTimes t) { super(DUTY, n.name, n.session, t, 0, () -> ++n.numbers); }
 
         @Override long leaseFrom(long asked, long answeredAt) { return answeredAt; }
     }
 
     private static final class NoDrift extends Lease {
-        private final Terms terms;
+        private final LeaseTimes terms;
 
-        NoDrift(Node n, Terms t) {
+        NoDrift(Node n, LeaseTimes t) {
             super(DUTY, n.name, n.session, t, 0, () -> ++n.numbers);
             terms = t;
         }
@@ -45,7 +45,7 @@
     }
 
     private static final class NoCheck extends Lease {
-        NoCheck(Node n, Terms t) { super(DUTY, n.name, n.session, t, 0, () -> ++n.numbers); }
+        NoCheck(Node n, LeaseTimes t) { super(DUTY, n.name, n.session, t, 0, () -> ++n.numbers); }
 
         @Override public boolean mayAct(long now) { return state() == State.HOLDING; }
     }
@@ -77,7 +77,7 @@
     private final List<Result> results = new ArrayList<>(); // of each, where it was agreed on
     final List<Command> commands = new ArrayList<>();
     final List<Answer> answers = new ArrayList<>();
-    final Terms terms;
+    final LeaseTimes terms;
     final Flaw flaw;
     Ledger ledger = new Ledger();
     long trueNow;
@@ -87,7 +87,7 @@
     private long lastFence;
     private long sessions;
 
-    World(int members, Terms terms, Flaw flaw) {
+    World(int members, LeaseTimes terms, Flaw flaw) {
         this.terms = terms;
         this.flaw = flaw;
         for (int i = 0; i < members; i++) {
--- a/decision/src/test/java/streamproxy/limits/PacesTest.java
+++ b/decision/src/test/java/streamproxy/limits/PacesTest.java
@@ -13,7 +13,7 @@
     private static final long S = 1_000 * MS;
 
     @Test void aPaceIsKeptEvenlyHoweverManyWait() {
-        Pace pace = new Pace(100, 0);
+        TokenBucket pace = new TokenBucket(100, 0);
         int taken = 0;
         for (long now = 0; now <= 2 * S; now += MS) {
             while (pace.take(now) == 0) {
@@ -22,7 +22,7 @@
             assertTrue(taken <= 10 + now / (double) S * 100 + 1, "taken " + taken + " by " + now);
         }
         assertTrue(taken >= 200, "taken " + taken);
-        Pace fresh = new Pace(100, 0);
+        TokenBucket fresh = new TokenBucket(100, 0);
         for (int i = 0; i < 10; i++) {
             assertEquals(0, fresh.take(0), "a tenth of a second's worth at once");
         }
@@ -30,7 +30,7 @@
     }
 
     @Test void withoutALimitNobodyWaitsAndALowerOneHoldsAtOnce() {
-        Pace pace = new Pace(Double.POSITIVE_INFINITY, 0);
+        TokenBucket pace = new TokenBucket(Double.POSITIVE_INFINITY, 0);
         for (int i = 0; i < 1000; i++) {
             assertEquals(0, pace.take(0));
         }
@@ -41,7 +41,7 @@
 
     /** Told one time, a thousand clients would be back in one moment. */
     @Test void thoseTurnedAwayTogetherComeBackApart() {
-        ComeBack comeBack = new ComeBack(7);
+        RetryAfterSchedule comeBack = new RetryAfterSchedule(7);
         int[] each = new int[20];
         for (int i = 0; i < 1000; i++) {
             long after = comeBack.after(0, 200, 5 * S);
--- a/decision/src/test/java/streamproxy/recovery/KnownBoxesTest.java
+++ b/decision/src/test/java/streamproxy/recovery/KnownBoxesTest.java
@@ -8,17 +8,17 @@
 import streamproxy.recovery.KnownBoxes.Believed;
 import streamproxy.recovery.KnownBoxes.Source;
 import streamproxy.recovery.KnownBoxes.State;
-import streamproxy.recovery.KnownBoxes.Told;
+import streamproxy.recovery.KnownBoxes.EventText;
 
 /** Each row of the table, by the harm that believing more, or less, would do. */
 class KnownBoxesTest {
-    private static final Told CONFIGURED = new Told("here", 5, true, Map.of("a", State.READY, "b", State.READY));
+    private static final EventText CONFIGURED = new EventText("here", 5, true, Map.of("a", State.READY, "b", State.READY));
 
-    private static Told kept(String service, long version, boolean whole) {
-        return new Told(service, version, whole, Map.of("a", State.DRAINING, "b", State.READY, "c", State.READY, "d", State.GONE));
+    private static EventText kept(String service, long version, boolean whole) {
+        return new EventText(service, version, whole, Map.of("a", State.DRAINING, "b", State.READY, "c", State.READY, "d", State.GONE));
     }
 
-    private static Believed believed(Told kept) { return KnownBoxes.of(CONFIGURED, kept); }
+    private static Believed believed(EventText kept) { return KnownBoxes.of(CONFIGURED, kept); }
 
     @Test void withNothingKeptTheConfigurationIsAllThereIs() {
         assertEquals(new Believed(Source.CONFIGURED, Set.of()), believed(null));
--- a/decision/src/test/java/streamproxy/streams/StreamStateTest.java
+++ b/decision/src/test/java/streamproxy/streams/StreamStateTest.java
@@ -140,7 +140,7 @@
     /** Against the sorted list: never under the true quantile, and no more than half an octave over. */
     @Property(seed = "22", tries = 500) void theSketchsQuantileIsNearTheTrueOne(
             @ForAll @Size(min = 1, max = 120) List<@LongRange(min = 2_000_000, max = 500_000_000_000L) Long> values, @ForAll @IntRange(min = 1, max = 100) int percent) {
-        Gaps gaps = new Gaps();
+        GapHistogram gaps = new GapHistogram();
         values.forEach(gaps::add);
         long[] sorted = values.stream().mapToLong(v -> v).sorted().toArray();
         long truth = sorted[Math.max(0, (int) Math.ceil(percent / 100.0 * sorted.length) - 1)];
@@ -149,7 +149,7 @@
     }
 
     @Test void whatWasLongAgoWeighsLess() {
-        Gaps gaps = new Gaps();
+        GapHistogram gaps = new GapHistogram();
         for (int i = 0; i < 1_000; i++) {
             gaps.add(10 * MS);
         }
@@ -158,7 +158,7 @@
         }
         assertTrue(gaps.count() <= 300);
         assertTrue(gaps.quantile(0.5) >= 100 * MS, "the newer pace holds");
-        assertEquals(0, new Gaps().quantile(0.5));
+        assertEquals(0, new GapHistogram().quantile(0.5));
     }
 
     // ---- Budgets ---------------------------------------------------------------------------------------
@@ -209,7 +209,7 @@
     // ---- Boxes whose streams stall together --------------------------------------------------------------
 
     @Test void aBoxWhoseStreamsStallTogetherIsToldOfOnce() {
-        Together together = new Together(2 * S, 0.5, 3);
+        StallCorrelator together = new StallCorrelator(2 * S, 0.5, 3);
         for (int i = 0; i < 10; i++) {
             together.began(1);
             together.began(2);
@@ -227,7 +227,7 @@
     }
 
     @Test void aBoxWithFewStreamsNeedsSoManyAtLeast() {
-        Together together = new Together(2 * S, 0.5, 3);
+        StallCorrelator together = new StallCorrelator(2 * S, 0.5, 3);
         together.began(1);
         together.began(1);
         assertFalse(together.stalled(1, 0));
--- a/fleet/src/main/java/streamproxy/fleet/Codec.java
+++ b/fleet/src/main/java/streamproxy/fleet/Codec.java
@@ -8,7 +8,7 @@
 import streamproxy.duties.Ledger;
 import streamproxy.duties.Member;
 import streamproxy.duties.Result;
-import streamproxy.duties.Terms;
+import streamproxy.duties.LeaseTimes;
 import streamproxy.fleet.wire.AnswerRecord;
 import streamproxy.fleet.wire.CommandRecord;
 import streamproxy.fleet.wire.DepartRecord;
@@ -196,11 +196,11 @@
         };
     }
 
-    private static TermsRecord terms(Terms terms) {
+    private static TermsRecord terms(LeaseTimes terms) {
         return TermsRecord.newBuilder().setLeaseNs(terms.leaseNs()).setDriftPpm(terms.driftPpm()).setActNs(terms.actNs()).build();
     }
 
-    private static Terms terms(TermsRecord r) { return new Terms(r.getLeaseNs(), r.getDriftPpm(), r.getActNs()); }
+    private static LeaseTimes terms(TermsRecord r) { return new LeaseTimes(r.getLeaseNs(), r.getDriftPpm(), r.getActNs()); }
 
     private static void checkVersion(int version) throws Unreadable {
         if (version < 1 || version > VERSION) {
--- a/fleet/src/main/java/streamproxy/fleet/ColdSharing.java
+++ b/fleet/src/main/java/streamproxy/fleet/ColdSharing.java
@@ -34,7 +34,7 @@
     private static final double NOTHING_SAID = -1;
 
     private final String me;
-    private final Supplier<Living> living;
+    private final Supplier<MemberDivision> living;
     private final Peers peers;
     private final int driftPpm;
     private final Steward steward; // under its own lock
@@ -44,7 +44,7 @@
     private volatile Module module;
     private volatile boolean closed;
 
-    ColdSharing(String me, Supplier<Living> living, int driftPpm, Peers peers) {
+    ColdSharing(String me, Supplier<MemberDivision> living, int driftPpm, Peers peers) {
         this.me = me;
         this.living = living;
         this.driftPpm = driftPpm;
@@ -79,7 +79,7 @@
                     steward.cold(known.at, box, known.share);
                 }
                 // Asked under the lock: whoever may act now has been the only one for as long as it takes to answer.
-                Living view = living.get();
+                MemberDivision view = living.get();
                 if (view.place(box) == 0 && view.mayNow()) {
                     steward.is(now, box);
                 } else {
@@ -117,7 +117,7 @@
         }
     }
 
-    private void ask(Living view) {
+    private void ask(MemberDivision view) {
         Map<String, List<Long>> byFirst = cold.keySet().stream().filter(box -> view.first(box) != null)
                 .collect(Collectors.groupingBy(view::first, TreeMap::new, Collectors.toList()));
         double perS = cold.values().stream().mapToDouble(Cold::promptsPerS).max().orElse(0);
--- a/fleet/src/main/java/streamproxy/fleet/Synced.java
+++ b/fleet/src/main/java/streamproxy/fleet/DurableFiles.java
@@ -9,8 +9,8 @@
 import java.nio.file.StandardOpenOption;
 
 /** Files that are there whole, or as they were, whenever the power goes. */
-final class Synced {
-    private Synced() { }
+final class DurableFiles {
+    private DurableFiles() { }
 
     /** Writes the file anew: beside it, synced, put in its place, the folder synced. */
     static void write(Path file, byte[] bytes) throws IOException {
--- a/fleet/src/main/java/streamproxy/fleet/Duties.java
+++ b/fleet/src/main/java/streamproxy/fleet/Duties.java
@@ -12,12 +12,12 @@
 import org.tinylog.Logger;
 import streamproxy.duties.Command;
 import streamproxy.duties.Duty;
-import streamproxy.duties.Lag;
+import streamproxy.duties.ReplicationLag;
 import streamproxy.duties.Lease;
 import streamproxy.duties.Ledger;
 import streamproxy.duties.Presence;
 import streamproxy.duties.Result;
-import streamproxy.duties.Terms;
+import streamproxy.duties.LeaseTimes;
 
 /**
  * This member's leases: one thread that asks, renews and gives back in time; whoever acts asks here first, and neither
@@ -31,13 +31,13 @@
 
     /** Is told how boxes are divided from now on; the same. */
     interface Divided {
-        void divided(Living living);
+        void divided(MemberDivision living);
     }
 
     private record Late(Command command, Result result, long at) { }
 
     /** Before anything is known. */
-    static final Living NOBODY = new Living(new Presence.View(-1, List.of()), "", false, 0, 0);
+    static final MemberDivision NOBODY = new MemberDivision(new Presence.View(-1, List.of()), "", false, 0, 0);
     private static final long MS = 1_000_000L;
     private static final long BEHIND_NS = 2_000 * MS;
     private static final int LATE_MOST = 64;
@@ -49,15 +49,15 @@
     private final AtomicLong numbers = new AtomicLong(1); // 1 was the session's opening
     private final String member;
     private final long session;
-    private final Terms terms;
+    private final LeaseTimes terms;
     private final LongSupplier clock;
     private final BiConsumer<List<Command>, Duties> send;
     private final Told told;
     private final Presence presence; // null: this member is not to be counted among those that live
     private final Divided divided;
     private final List<Late> late = new ArrayList<>();
-    private Living living = NOBODY;
-    private final Lag lag = new Lag();
+    private MemberDivision living = NOBODY;
+    private final ReplicationLag lag = new ReplicationLag();
     private boolean behindSaid;
     private long appliedTo = -1;
     private long ahead;
@@ -69,7 +69,7 @@
      * @param send  sends commands without waiting, together, and tells {@link #answered} of each
      * @param divided null where this member has no part in what is divided among those that live
      */
-    Duties(String member, long session, Terms terms, LongSupplier clock, BiConsumer<List<Command>, Duties> send, Told told, Divided divided) {
+    Duties(String member, long session, LeaseTimes terms, LongSupplier clock, BiConsumer<List<Command>, Duties> send, Told told, Divided divided) {
         this.member = member;
         this.session = session;
         this.terms = terms;
@@ -203,9 +203,9 @@
     synchronized long behindNs() { return lag.behindNs(clock.getAsLong()); }
 
     /** How boxes are divided now, as far as is known here. */
-    synchronized Living living() { return living; }
+    synchronized MemberDivision living() { return living; }
 
-    private Living refresh(long now) {
+    private MemberDivision refresh(long now) {
         Lease own = leases.get(Presence.of(member));
         boolean settled = !left && own.mayAct(now) && now >= presence.actsFrom();
         long until = own.heldUntil() - terms.actNs();
@@ -213,7 +213,7 @@
             living.until(until);
             return null;
         }
-        living = new Living(presence.view(), member, settled, until, ahead);
+        living = new MemberDivision(presence.view(), member, settled, until, ahead);
         return living;
     }
 
@@ -264,7 +264,7 @@
 
     boolean turn() throws InterruptedException {
         List<Command> out = new ArrayList<>();
-        Living now;
+        MemberDivision now;
         synchronized (this) {
             if (closed) {
                 return false;
--- a/fleet/src/main/java/streamproxy/fleet/Ensemble.java
+++ b/fleet/src/main/java/streamproxy/fleet/Ensemble.java
@@ -97,7 +97,7 @@
     private final Map<RaftPeerId, Long> actedAt = new ConcurrentHashMap<>(); // on a failure, by System.nanoTime
 
     /** @param applied is told of each change of the ledger, as {@link LedgerMachine} says */
-    Ensemble(FleetSettings settings, Folder folder, LedgerMachine.Applied applied) throws IOException {
+    Ensemble(FleetSettings settings, MemberDirectory folder, LedgerMachine.Applied applied) throws IOException {
         List<RaftPeer> peers = new ArrayList<>();
         for (Map.Entry<String, InetSocketAddress> member : settings.members().entrySet()) {
             boolean votes = settings.voters().contains(member.getKey());
@@ -125,7 +125,7 @@
 
     private static TimeDuration ms(long ms) { return TimeDuration.valueOf(ms, TimeUnit.MILLISECONDS); }
 
-    private static RaftProperties properties(FleetSettings settings, Folder folder) {
+    private static RaftProperties properties(FleetSettings settings, MemberDirectory folder) {
         RaftProperties p = new RaftProperties();
         RaftConfigKeys.Rpc.setType(p, SupportedRpcType.GRPC);
         GrpcConfigKeys.Server.setHost(p, settings.listen().getHostString());
--- a/fleet/src/main/java/streamproxy/fleet/FleetMain.java
+++ b/fleet/src/main/java/streamproxy/fleet/FleetMain.java
@@ -61,7 +61,7 @@
         }
 
         private static Fleet member(FleetSettings settings) throws Unusable, IOException {
-            Folder folder = Folder.open(settings.folder(), settings.id(), settings.name());
+            MemberDirectory folder = MemberDirectory.open(settings.folder(), settings.id(), settings.name());
             try {
                 FleetNode node = new FleetNode(settings, folder);
                 node.start();
--- a/fleet/src/main/java/streamproxy/fleet/FleetNode.java
+++ b/fleet/src/main/java/streamproxy/fleet/FleetNode.java
@@ -21,7 +21,7 @@
 import streamproxy.duties.Ledger;
 import streamproxy.duties.Member;
 import streamproxy.duties.Presence;
-import streamproxy.duties.Ranks;
+import streamproxy.duties.RendezvousOrder;
 import streamproxy.duties.Result;
 import streamproxy.program.Fleet;
 import streamproxy.protocol.EndpointEntry;
@@ -44,14 +44,14 @@
     private static final long ANSWER_MS = 450;
 
     private final FleetSettings settings;
-    private final Folder folder;
+    private final MemberDirectory folder;
     private final Ensemble ensemble;
     private final Duties duties;
     private final Peers peers;
     private final KeptList kept;
     private final ListSharing list;
     private final ColdSharing coldShares;
-    private final Elders elders;
+    private final PeerListQuery elders;
     private final long session;
     private volatile List<String> names; // of the members, as the ledger has them
     private volatile boolean shares;     // the watch of the box list
@@ -62,7 +62,7 @@
     private volatile Consumer<Division> owners;
     private volatile Consumer<Event> records; // null: nobody wants any
 
-    FleetNode(FleetSettings settings, Folder folder) throws IOException {
+    FleetNode(FleetSettings settings, MemberDirectory folder) throws IOException {
         this.settings = settings;
         this.folder = folder;
         long drawn = new SecureRandom().nextLong();
@@ -72,13 +72,13 @@
                 settings.ownership() ? this::divided : null);
         kept = KeptList.open(folder.path());
         peers = new Peers(settings.name(), this::query);
-        elders = new Elders(settings.name(), peers, kept::known);
+        elders = new PeerListQuery(settings.name(), peers, kept::known);
         list = new ListSharing(settings.name(), new ListSharing.Watch() {
             @Override public String holder() { return ensemble.duty(settings.listWatch()).holder(); }
 
             @Override public boolean holds() { return duties.holds(settings.listWatch()); }
 
-            @Override public int rank() { return Ranks.of(settings.listWatch(), settings.name(), names); }
+            @Override public int rank() { return RendezvousOrder.of(settings.listWatch(), settings.name(), names); }
 
             @Override public void acted(boolean well) {
                 long fence = duties.fence(settings.listWatch());
@@ -108,8 +108,8 @@
         duties.applied(ledger, about, at);
         if (about == null) { // who is in may have changed
             names = ledger.members().stream().map(Member::name).toList();
-            settings.duties().forEach(name -> duties.rank(name, Ranks.of(name, settings.name(), names)));
-            duties.rank(settings.listWatch(), Ranks.of(settings.listWatch(), settings.name(), names));
+            settings.duties().forEach(name -> duties.rank(name, RendezvousOrder.of(name, settings.name(), names)));
+            duties.rank(settings.listWatch(), RendezvousOrder.of(settings.listWatch(), settings.name(), names));
         }
     }
 
@@ -133,7 +133,7 @@
     @Override public SharedList list() {
         if (settings.sharesList() && !shares) {
             shares = true;
-            seek(settings.listWatch(), Ranks.of(settings.listWatch(), settings.name(), names));
+            seek(settings.listWatch(), RendezvousOrder.of(settings.listWatch(), settings.name(), names));
             list.start();
         }
         return list;
@@ -149,7 +149,7 @@
         kept.start();
         duties.sees(ensemble.duty(Presence.of(settings.name())));
         for (String duty : settings.duties()) {
-            seek(duty, Ranks.of(duty, settings.name(), settings.members().keySet()));
+            seek(duty, RendezvousOrder.of(duty, settings.name(), settings.members().keySet()));
         }
         Thread opening = new Thread(null, this::open, "fleet opening", 256 * 1024);
         opening.setDaemon(true);
@@ -194,7 +194,7 @@
         }
     }
 
-    private void divided(Living living) {
+    private void divided(MemberDivision living) {
         Logger.info("fleet: {} live at epoch {}: {}; this router {}", living.view().live().size(), living.view().epoch(),
                 String.join(", ", living.view().live()), living.settled() ? "has its part" : "has no part yet");
         Consumer<Division> to = owners;
@@ -299,7 +299,7 @@
 
     /** Whether this router stands first for that box now, and by which epoch of those that live. */
     private Reply owner(String box) {
-        Living living = duties.living();
+        MemberDivision living = duties.living();
         boolean owns = living.place(EndpointEntry.id(box)) == 0 && living.may(duties.ahead() + System.nanoTime());
         return new Reply(owns ? 200 : 409, "{\"box\":" + text(box) + ",\"held\":" + owns + ",\"fence\":" + living.view().epoch() + "}");
     }
@@ -379,7 +379,7 @@
         }
         LedgerMachine.Digest digest = ensemble.digest();
         String why = refused != null ? refused.name() : duties.sessionLost() ? "NO_SESSION" : ensemble.stuck() == null ? "" : ensemble.stuck();
-        Living living = duties.living();
+        MemberDivision living = duties.living();
         String live = String.join(",", living.view().live().stream().map(FleetNode::text).toList());
         return "{\"fleet\":" + text(settings.id()) + ",\"name\":" + text(settings.name()) + ",\"member\":" + (member && why.isEmpty())
                 + ",\"refused\":" + text(why) + ",\"leader\":" + text(leader) + ",\"role\":\"" + role + "\",\"term\":" + term
--- a/fleet/src/main/java/streamproxy/fleet/FleetSettings.java
+++ b/fleet/src/main/java/streamproxy/fleet/FleetSettings.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
-import streamproxy.duties.Terms;
+import streamproxy.duties.LeaseTimes;
 import streamproxy.protocol.NodeConfig.Unusable;
 import streamproxy.protocol.OperatorFile;
 
@@ -28,7 +28,7 @@
  * @param sharesList whether one member of each zone holds the watch of the box list for the others
  * @param voters  those whose majority decides, three or five; the others follow
  */
-record FleetSettings(String id, String name, Map<String, InetSocketAddress> members, List<String> voters, Path folder, Terms terms,
+record FleetSettings(String id, String name, Map<String, InetSocketAddress> members, List<String> voters, Path folder, LeaseTimes terms,
         List<String> duties, double turnWaitS, boolean joins, boolean ownership, String zone, int turns, boolean sharesList) {
     private static final String SECTION = OperatorFile.FLEET;
     private static final double LEASE_LEAST_S = 0.5;
@@ -103,7 +103,7 @@
         if (turns != Math.rint(turns)) {
             throw file.unusable(SECTION, "turns", "not a whole number: " + set.get("turns"));
         }
-        return new FleetSettings(id, name, members, voters, folder, new Terms((long) (leaseS * 1e9), (int) drift, (long) (actMs * 1e6)),
+        return new FleetSettings(id, name, members, voters, folder, new LeaseTimes((long) (leaseS * 1e9), (int) drift, (long) (actMs * 1e6)),
                 duties, turnWait, joins, ownership, zone, (int) turns, yes(file, set, "shares_list", "yes"));
     }
 
--- a/fleet/src/main/java/streamproxy/fleet/LedgerMachine.java
+++ b/fleet/src/main/java/streamproxy/fleet/LedgerMachine.java
@@ -31,7 +31,7 @@
 import streamproxy.duties.Command;
 import streamproxy.duties.Duty;
 import streamproxy.duties.Ledger;
-import streamproxy.duties.Marks;
+import streamproxy.duties.DivergenceCheck;
 import streamproxy.duties.Result;
 
 /**
@@ -65,7 +65,7 @@
     private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
     private final Applied applied;
     private final Runnable membersAgreed;
-    private final Marks marks = new Marks();
+    private final DivergenceCheck marks = new DivergenceCheck();
     private Ledger ledger = new Ledger();
     private String stuck; // why nothing more is applied; null: all is
 
@@ -140,7 +140,7 @@
     }
 
     private void mark(long place) {
-        if (Marks.due(place)) {
+        if (DivergenceCheck.due(place)) {
             int sum = sum(Codec.bytes(ledger.image()));
             marks.own(place, sum);
             applied.summed(place, sum);
@@ -173,7 +173,7 @@
         }
         Path file = storage.getSnapshotFile(at.getTerm(), at.getIndex()).toPath();
         ByteBuffer bytes = ByteBuffer.allocate(HEAD + record.length).putInt(MAGIC).putInt(sum(record)).put(record);
-        Synced.write(file, bytes.array());
+        DurableFiles.write(file, bytes.array());
         storage.updateLatestSnapshot(new SingleFileSnapshotInfo(new FileInfo(file, MD5FileUtil.computeAndSaveMd5ForFile(file.toFile())), at));
         return at.getIndex();
     }
--- a/fleet/src/main/java/streamproxy/fleet/ListSharing.java
+++ b/fleet/src/main/java/streamproxy/fleet/ListSharing.java
@@ -13,7 +13,7 @@
 import java.util.function.Consumer;
 
 import org.tinylog.Logger;
-import streamproxy.duties.Following;
+import streamproxy.duties.WatchFollower;
 import streamproxy.duties.ListLog;
 import streamproxy.fleet.wire.AnswerToMember;
 import streamproxy.fleet.wire.ListAnswer;
@@ -24,7 +24,7 @@
 /**
  * One member of each zone holds the watch of the box list for the others, which ask it for what comes. Nothing rests on the
  * duty's being held by one alone: versions order what is told, and who gets nothing has a watch of its own
- * ({@link Following}).
+ * ({@link WatchFollower}).
  */
 final class ListSharing implements SharedList, AutoCloseable {
     /** How the duty stands. */
@@ -63,10 +63,10 @@
     private final Others others;
     private volatile boolean heard; // the service, or a watch of it, since the start
     private long askedOthersAt = System.nanoTime();
-    private final Following following = new Following(System.nanoTime());
+    private final WatchFollower following = new WatchFollower(System.nanoTime());
     private final ListLog log = new ListLog();
     private final Set<CompletableFuture<Void>> waiting = ConcurrentHashMap.newKeySet();
-    private final AtomicLong aliveAt = new AtomicLong(System.nanoTime() - Following.WATCH_QUIET_NS);
+    private final AtomicLong aliveAt = new AtomicLong(System.nanoTime() - WatchFollower.WATCH_QUIET_NS);
     private InetSocketAddress service; // whose the log is
     private volatile Follower follower;
     private volatile long begunAt = System.nanoTime(); // the own watch
@@ -198,7 +198,7 @@
         }
         String holder = watch.holder();
         boolean holds = watch.holds();
-        if (holds && own && System.nanoTime() - Math.max(begunAt, aliveAt.get()) >= Following.WATCH_QUIET_NS) {
+        if (holds && own && System.nanoTime() - Math.max(begunAt, aliveAt.get()) >= WatchFollower.WATCH_QUIET_NS) {
             watch.acted(false); // its connection may stand: it is the others who would wait
         }
         following.holds(holds);
@@ -235,7 +235,7 @@
                 TimeUnit.MILLISECONDS.sleep(PAUSE_MS); // it goes by another service, or has no watch yet
                 return;
             }
-            heard |= answer.getLinesCount() > 0 || answer.getQuietNs() < Following.WATCH_QUIET_NS;
+            heard |= answer.getLinesCount() > 0 || answer.getQuietNs() < WatchFollower.WATCH_QUIET_NS;
             answer.getLinesList().forEach(line -> to.line(known.service(), line));
             boolean knowsAll = !answer.getLacksWhole() && answer.getNewest() >= known.version();
             following.answered(System.nanoTime(), askedAt, answer.getQuietNs(), knowsAll);
--- a/fleet/src/main/java/streamproxy/fleet/Folder.java
+++ b/fleet/src/main/java/streamproxy/fleet/MemberDirectory.java
@@ -18,7 +18,7 @@
  * A member's folder: whose it is, which no two share, and how often a process has started from it. One process at a time
  * has it, by a lock that ends with the process.
  */
-final class Folder implements AutoCloseable {
+final class MemberDirectory implements AutoCloseable {
     private static final String IDENTITY = "member.properties";
     private static final String LOCK = "lock";
     private static final int VERSION = 1;
@@ -30,7 +30,7 @@
     private final long start;
     private final boolean fresh;
 
-    private Folder(Path path, FileChannel lockFile, FileLock lock, long id, long start, boolean fresh) {
+    private MemberDirectory(Path path, FileChannel lockFile, FileLock lock, long id, long start, boolean fresh) {
         this.path = path;
         this.lockFile = lockFile;
         this.lock = lock;
@@ -45,7 +45,7 @@
      *
      * @throws Unusable where another process has it, or it is another member's or another fleet's
      */
-    static Folder open(Path path, String fleet, String member) throws Unusable, IOException {
+    static MemberDirectory open(Path path, String fleet, String member) throws Unusable, IOException {
         Files.createDirectories(path);
         FileChannel lockFile = FileChannel.open(path.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         FileLock lock = null;
@@ -78,8 +78,8 @@
             said.setProperty("starts", String.valueOf(start));
             StringWriter text = new StringWriter();
             said.store(text, null);
-            Synced.write(file, text.toString().getBytes(StandardCharsets.UTF_8));
-            return new Folder(path, lockFile, lock, id, start, fresh);
+            DurableFiles.write(file, text.toString().getBytes(StandardCharsets.UTF_8));
+            return new MemberDirectory(path, lockFile, lock, id, start, fresh);
         } catch (Unusable | IOException e) {
             lockFile.close();
             throw e;
--- a/fleet/src/main/java/streamproxy/fleet/Elders.java
+++ b/fleet/src/main/java/streamproxy/fleet/PeerListQuery.java
@@ -20,12 +20,12 @@
  * What the other members know of the box list, for one that starts: its own disk may be old, damaged or empty, and the list's
  * service away. All are asked at once; who does not answer in time is not waited for.
  */
-final class Elders {
+final class PeerListQuery {
     private final String me;
     private final Peers peers;
 
     /** @param has what this router has of the list, for others that start */
-    Elders(String me, Peers peers, Supplier<KeptList.Known> has) {
+    PeerListQuery(String me, Peers peers, Supplier<KeptList.Known> has) {
         this.me = me;
         this.peers = peers;
         peers.answer(QuestionRecord.WhatCase.KEPT, question -> CompletableFuture.completedFuture(answer(has.get())));
--- a/fleet/src/main/java/streamproxy/fleet/RecordFile.java
+++ b/fleet/src/main/java/streamproxy/fleet/RecordFile.java
@@ -103,7 +103,7 @@
         int size = HEAD + records.stream().mapToInt(r -> FRAME + r.length).sum();
         ByteBuffer all = ByteBuffer.allocate(size).putInt(MAGIC).putInt(VERSION);
         records.forEach(record -> frame(all, record));
-        Synced.write(file, all.array());
+        DurableFiles.write(file, all.array());
         return new RecordFile(FileChannel.open(file, StandardOpenOption.WRITE), size);
     }
 
--- a/fleet/src/main/java/streamproxy/fleet/Stopped.java
+++ b/fleet/src/main/java/streamproxy/fleet/Stopped.java
@@ -10,10 +10,10 @@
 /** A router whose folder is damaged: it serves, holds nothing, has no part of the boxes, and says why. */
 final class Stopped implements Fleet {
     private final FleetSettings settings;
-    private final Folder folder; // kept: no other process may run from it meanwhile
+    private final MemberDirectory folder; // kept: no other process may run from it meanwhile
     private final String why;
 
-    Stopped(FleetSettings settings, Folder folder, String why) {
+    Stopped(FleetSettings settings, MemberDirectory folder, String why) {
         this.settings = settings;
         this.folder = folder;
         this.why = why;
--- a/fleet/src/test/java/streamproxy/fleet/DutiesTest.java
+++ b/fleet/src/test/java/streamproxy/fleet/DutiesTest.java
@@ -13,16 +13,16 @@
 import streamproxy.duties.Ledger;
 import streamproxy.duties.Presence;
 import streamproxy.duties.Result;
-import streamproxy.duties.Terms;
+import streamproxy.duties.LeaseTimes;
 
 /** One member's duties against a ledger in the same thread: what it sends, and what it tells its router of who lives. */
 class DutiesTest {
     private static final long LEASE = 1_000_000_000L;
-    private static final Terms TERMS = new Terms(LEASE, 1_000, 10_000_000L);
+    private static final LeaseTimes TERMS = new LeaseTimes(LEASE, 1_000, 10_000_000L);
 
     private final Ledger ledger = new Ledger();
     private final List<Command> sent = new ArrayList<>();
-    private final List<Living> told = new ArrayList<>();
+    private final List<MemberDivision> told = new ArrayList<>();
     private long now = 1_000 * LEASE;
     private long at;
     private Duties duties;
@@ -56,7 +56,7 @@
         Command take = sent.get(0);
         duties.answered(take, ledger.apply(take), 7);
         turn();
-        assertFalse(told.stream().anyMatch(Living::settled));
+        assertFalse(told.stream().anyMatch(MemberDivision::settled));
         assertEquals(0, duties.living().view().live().size(), "the leader says so; nothing was applied here");
         duties.applied(ledger, Set.of(take.duty()), 7);
         sent.clear();
@@ -109,7 +109,7 @@
             agree(false);
         }
         turn();
-        Living held = duties.living();
+        MemberDivision held = duties.living();
         assertTrue(held.may(now));
         duties.leaves();
         assertFalse(held.may(now), "what the router was told of before, too");
--- a/fleet/src/test/java/streamproxy/fleet/FleetTest.java
+++ b/fleet/src/test/java/streamproxy/fleet/FleetTest.java
@@ -20,14 +20,14 @@
 import streamproxy.duties.Command;
 import streamproxy.duties.Ledger;
 import streamproxy.duties.Result;
-import streamproxy.duties.Terms;
+import streamproxy.duties.LeaseTimes;
 import streamproxy.protocol.NodeConfig.Unusable;
 import streamproxy.protocol.OperatorReader;
 
 /** The fleet's records, settings and layers. */
 class FleetTest {
     private static final Command.From FROM = new Command.From("r0", -7, 3);
-    private static final Terms TERMS = new Terms(1_000_000_000L, 1_000, 5);
+    private static final LeaseTimes TERMS = new LeaseTimes(1_000_000_000L, 1_000, 5);
     private static final List<Command> COMMANDS = List.of(new Command.Open(FROM, -1, 2, TERMS, true), new Command.Depart(FROM, "r1"),
             new Command.Take(FROM, "d", 4, 5), new Command.Renew(FROM, "d", 4), new Command.Release(FROM, "d", 4, "r1"),
             new Command.HandOn(FROM, "d", ""), new Command.Vacate(FROM, "d", 4, 5), new Command.Mark(FROM, 3_000, -9));
--- a/lab/src/main/java/streamproxy/lab/fleet/Drawn.java
+++ b/lab/src/main/java/streamproxy/lab/fleet/FaultChart.java
@@ -20,11 +20,11 @@
 import streamproxy.protocol.Json;
 
 /** Acts over time, by router, with the faults drawn in: {@code acts.csv} and {@code acts.png}; and times without a holder. */
-final class Drawn {
+final class FaultChart {
     private static final long BUCKET_MS = 250;
     private static final double MS = 1e6;
 
-    private Drawn() { }
+    private FaultChart() { }
 
     static void of(Path observed, Path folder) throws IOException {
         Map<String, TreeMap<Long, Integer>> acts = new TreeMap<>();
--- a/lab/src/main/java/streamproxy/lab/fleet/FleetCommand.java
+++ b/lab/src/main/java/streamproxy/lab/fleet/FleetCommand.java
@@ -81,7 +81,7 @@
             threads.shutdownNow();
         }
         write(plays);
-        Drawn.handOvers(plays.stream().flatMap(one -> one.handOvers().stream()).toList(), leaseS, out);
+        FaultChart.handOvers(plays.stream().flatMap(one -> one.handOvers().stream()).toList(), leaseS, out);
         System.out.println(summary(plays, found, broken));
         return broken.isEmpty() && found.stream().allMatch(one -> one.breaches().isEmpty()) ? 0 : 1;
     }
--- a/lab/src/main/java/streamproxy/lab/fleet/Play.java
+++ b/lab/src/main/java/streamproxy/lab/fleet/Play.java
@@ -68,7 +68,7 @@
                 awaitNext(actors, actors.last(DUTY).fence() - 1);
             }
         }
-        Drawn.of(file, out);
+        FaultChart.of(file, out);
         return Audit.of(file);
     }
 
--- a/lab/src/test/java/streamproxy/lab/fleet/DiskStories.java
+++ b/lab/src/test/java/streamproxy/lab/fleet/DiskIntegrationTest.java
@@ -13,7 +13,7 @@
 import streamproxy.protocol.Json;
 
 /** Three routers as processes, and what becomes of one whose disk fails. */
-public class DiskStories extends FleetStory {
+public class DiskIntegrationTest extends FleetStory {
     private Path file(String router, String start) throws IOException {
         try (Stream<Path> all = Files.walk(folder.getRoot().toPath().resolve(router))) {
             return all.filter(f -> f.getFileName().toString().startsWith(start) && !f.toString().endsWith(".md5")).sorted().reduce((a, b) -> b).orElseThrow();
--- a/lab/src/test/java/streamproxy/lab/fleet/DutyStories.java
+++ b/lab/src/test/java/streamproxy/lab/fleet/DutyIntegrationTest.java
@@ -22,7 +22,7 @@
 import streamproxy.protocol.Json;
 
 /** Three routers as processes, and what happens to one duty as they are killed, stalled and told to leave. */
-public class DutyStories extends FleetStory {
+public class DutyIntegrationTest extends FleetStory {
     private static final long DAY_MS = 86_400_000;
 
     @Test public void aHolderThatIsKilledIsFollowedByAnotherAndComesBackWithoutTheDuty() throws Exception {
@@ -71,7 +71,7 @@
     }
 
     @Test public void aBoxIsOwnedByAnotherWhenItsOwnerDiesOrIsStoppedAndByItAgainWhenItIsBack() throws Exception {
-        DaemonProcess.await("all have their part", 60, () -> fleet.all().subList(0, 3).stream().allMatch(DutyStories::hasItsPart));
+        DaemonProcess.await("all have their part", 60, () -> fleet.all().subList(0, 3).stream().allMatch(DutyIntegrationTest::hasItsPart));
         Actors.Last first = awaitOwner("it is owned", owner -> true);
         DaemonProcess owner = fleet.all().stream().filter(d -> d.name().equals(first.who())).findFirst().orElseThrow();
         owner.kill();
@@ -154,7 +154,7 @@
         for (DaemonProcess one : three) {
             List<String> times = one.log().lines().filter(line -> line.contains("LEAVING after") || line.contains("is answered")).toList();
             assertEquals("each has left once: " + times, 2, times.size());
-            away.add(times.stream().mapToLong(DutyStories::msOfDay).toArray());
+            away.add(times.stream().mapToLong(DutyIntegrationTest::msOfDay).toArray());
         }
         long first = away.stream().mapToLong(times -> times[0]).min().orElseThrow(); // over midnight they are after it, too
         away.sort(Comparator.comparingLong(times -> Math.floorMod(times[0] - first, DAY_MS)));
--- a/lab/src/test/java/streamproxy/lab/fleet/ListStories.java
+++ b/lab/src/test/java/streamproxy/lab/fleet/ListIntegrationTest.java
@@ -8,7 +8,7 @@
 import streamproxy.protocol.Json;
 
 /** Three routers as processes that have the box list by one watch, and what becomes of it when the one that holds it fails. */
-public class ListStories extends FleetStory {
+public class ListIntegrationTest extends FleetStory {
     private static final int LOST = 1; // the box that is told draining
 
     private List<DaemonProcess> members() { return fleet.all().subList(0, 3); }
--- a/lab/src/test/java/streamproxy/lab/fleet/ManyStories.java
+++ b/lab/src/test/java/streamproxy/lab/fleet/ManyIntegrationTest.java
@@ -11,7 +11,7 @@
 import streamproxy.protocol.Json;
 
 /** Three routers as processes among which a thousand duties are spread. */
-public class ManyStories extends FleetStory {
+public class ManyIntegrationTest extends FleetStory {
     private static final int MANY = 1_000;
 
     @Override double leaseS() { return 3; }
--- a/lab/src/test/java/streamproxy/lab/fleet/PowerStories.java
+++ b/lab/src/test/java/streamproxy/lab/fleet/PowerIntegrationTest.java
@@ -12,7 +12,7 @@
 import streamproxy.protocol.Json;
 
 /** Three routers as processes that all lose their power at one instant, and the list's service with them. */
-public class PowerStories extends FleetStory {
+public class PowerIntegrationTest extends FleetStory {
     private static final int DRAINS = 1;
     private static final int PROMPTS = 20;
 
--- a/lab/src/test/java/streamproxy/lab/fleet/StewardStories.java
+++ b/lab/src/test/java/streamproxy/lab/fleet/StewardIntegrationTest.java
@@ -12,7 +12,7 @@
 import streamproxy.protocol.Json;
 
 /** Three routers as processes, twelve of whose boxes start at once. */
-public class StewardStories extends FleetStory {
+public class StewardIntegrationTest extends FleetStory {
     private static final int COLD = 12;
     private static final int WARM = 28;
     private static final long WINDOW_NS = 2_000_000_000L;        // the settings' Fall
--- a/records/src/main/java/streamproxy/records/Event.java
+++ b/records/src/main/java/streamproxy/records/Event.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * Something that happened, as plain data: made where it happened, put into words by {@link Shape} elsewhere. Times of
+ * Something that happened, as plain data: made where it happened, put into words by {@link EventFormatter} elsewhere. Times of
  * day are milliseconds since 1970 (UTC), durations nanoseconds; a duration or count that is not known is negative.
  */
 public sealed interface Event {
--- a/records/src/main/java/streamproxy/records/Told.java
+++ b/records/src/main/java/streamproxy/records/EventText.java
@@ -8,13 +8,13 @@
  * @param severity syslog's, RFC 5424 6.2.1
  * @param elements each with a name of its own
  */
-public record Told(long atMs, Event.Kind kind, int severity, List<Element> elements, String sentence) {
+public record EventText(long atMs, Event.Kind kind, int severity, List<Element> elements, String sentence) {
     public static final int ERROR = 3;
     public static final int WARNING = 4;
     public static final int NOTICE = 5;
     public static final int INFO = 6;
 
-    public Told { elements = List.copyOf(elements); }
+    public EventText { elements = List.copyOf(elements); }
 
     /** Params of one subject. {@code own} names stand under the installation's enterprise number, others are registered. */
     public record Element(String name, boolean own, List<Param> params) {
--- a/records/src/main/java/streamproxy/records/JsonLine.java
+++ b/records/src/main/java/streamproxy/records/JsonLine.java
@@ -10,16 +10,16 @@
     private JsonLine() { }
 
     /** The line without its end. A name that a record has several times becomes an array. */
-    public static String of(Told told) {
+    public static String of(EventText told) {
         StringBuilder line = new StringBuilder(256).append("{\"time\":");
         string(line, Instant.ofEpochMilli(told.atMs()).toString());
         line.append(",\"kind\":");
         string(line, told.kind().word());
         line.append(",\"severity\":").append(told.severity());
-        for (Told.Element element : told.elements()) {
+        for (EventText.Element element : told.elements()) {
             Map<String, StringJoiner> values = new LinkedHashMap<>();
             Map<String, Integer> counts = new LinkedHashMap<>();
-            for (Told.Param param : element.params()) {
+            for (EventText.Param param : element.params()) {
                 values.computeIfAbsent(param.name(), n -> new StringJoiner(",")).add(quoted(param.value()));
                 counts.merge(param.name(), 1, Integer::sum);
             }
--- a/records/src/main/java/streamproxy/records/Names.java
+++ b/records/src/main/java/streamproxy/records/Names.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Every name that a record may have, with what it says: what docs/syslog.md lists and {@link Shape} uses. */
+/** Every name that a record may have, with what it says: what docs/syslog.md lists and {@link EventFormatter} uses. */
 public enum Names {
-    REQUEST_ID("request", "id", "the client's name of the request (Req-Id)", Told.Param.ID),
+    REQUEST_ID("request", "id", "the client's name of the request (Req-Id)", EventText.Param.ID),
     REQUEST_END("request", "end", "served, broken, refused, failed or left", 8),
     REQUEST_CLASS("request", "class", "its class (Req-Kind)", 8),
     REQUEST_TENANT("request", "tenant", "its tenant; left out where there is none", 5),
@@ -22,7 +22,7 @@
     REQUEST_BYTES("request", "bytes", "bytes of the answer's events", 2),
     REQUEST_RETRY("request", "retry_ms", "what it was told to wait before it tries again", 3),
     REQUEST_TRIED("request", "tried", "one for each attempt: number, box, outcome, decision, milliseconds", 1),
-    ATTEMPT_ID("attempt", "id", "the request's", Told.Param.ID),
+    ATTEMPT_ID("attempt", "id", "the request's", EventText.Param.ID),
     ATTEMPT_NUMBER("attempt", "number", "from 0", 8),
     ATTEMPT_BOX("attempt", "box", "the box that it was sent to", 7),
     ATTEMPT_OUTCOME("attempt", "outcome", "ok, error, full, timeout, connect_failed, reset, cancelled or moot", 7),
@@ -32,7 +32,7 @@
     PROBE_BOX("probe", "box", "the box that was asked", 7),
     PROBE_OUTCOME("probe", "outcome", "ok, error, timeout, connect_failed or reset", 8),
     PROBE_TOOK("probe", "took_ms", "from its sending to its end", 6),
-    BOX_ID("box", "id", "the box's uid", Told.Param.ID),
+    BOX_ID("box", "id", "the box's uid", EventText.Param.ID),
     BOX_STATE("box", "state", "ready, draining, gone, left_out, taken_back or stalls", 8),
     BOX_ENDPOINT("box", "endpoint", "where it listens", 5),
     BOX_WHY("box", "why", "what it was left out for, or stalls by", 5),
@@ -43,15 +43,15 @@
     RELOAD_WHY("reload", "why", "what is wrong with the file", 5),
     PHASE_NAME("phase", "name", "starting, serving, reloading, leaving, finishing or stopped", 8),
     PHASE_AFTER("phase", "after", "the one before", 5),
-    STANDSTILL_WHO("standstill", "who", "the actor, or process for all of it", Told.Param.ID),
+    STANDSTILL_WHO("standstill", "who", "the actor, or process for all of it", EventText.Param.ID),
     STANDSTILL_STATE("standstill", "state", "stands or turns (again)", 8),
     STANDSTILL_FOR("standstill", "for_ms", "how long it has stood", 7),
     STANDSTILL_WHERE("standstill", "where", "the top of its thread's stack, innermost first", 3),
-    DUTY_NAME("duty", "name", "the duty among the fleet", Told.Param.ID),
+    DUTY_NAME("duty", "name", "the duty among the fleet", EventText.Param.ID),
     DUTY_STATE("duty", "state", "watching, asking, holding, stopping or releasing", 8),
     DUTY_BEFORE("duty", "before", "the state before: watching after holding has lapsed", 6),
     DUTY_FENCE("duty", "fence", "the number that its acts bear", 7),
-    QUEUE_COLLECTOR("queue", "collector", "the collector's name in the operator's file", Told.Param.ID),
+    QUEUE_COLLECTOR("queue", "collector", "the collector's name in the operator's file", EventText.Param.ID),
     QUEUE_SENT("queue", "sent", "records handed to its transport since the last record of this kind", 8),
     QUEUE_DROPPED("queue", "dropped", "records given up since then, of all kinds", 8),
     QUEUE_DROPPED_OF("queue", "dropped_KIND", "of these, the ones of that kind; left out where there are none", 6),
@@ -80,7 +80,7 @@
     /** The later it is cut from a record that is too long, the higher. */
     public int worth() { return worth; }
 
-    Told.Param with(String value) { return new Told.Param(word, value, worth); }
+    EventText.Param with(String value) { return new EventText.Param(word, value, worth); }
 
     /** All of them as rows of a table in Markdown. */
     public static List<String> rows() {
--- a/records/src/main/java/streamproxy/syslog/Delivery.java
+++ b/records/src/main/java/streamproxy/syslog/Delivery.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
 import streamproxy.records.Event;
-import streamproxy.records.Shape;
+import streamproxy.records.EventFormatter;
 
 /** The thread that sends one collector's records, or those of several that stand in for each other. */
 final class Delivery {
@@ -216,7 +216,7 @@
                 queue.waiting(), connects - connectsBefore);
         try {
             reports = reports == Integer.MAX_VALUE ? 1 : reports + 1;
-            channel.send(to.framing().frame(message.of(Shape.of(state), reports, to.mostBytes())));
+            channel.send(to.framing().frame(message.of(EventFormatter.of(state), reports, to.mostBytes())));
             channel.flush();
         } catch (IOException e) {
             queue.putBack(dropped);
--- a/records/src/main/java/streamproxy/syslog/Message.java
+++ b/records/src/main/java/streamproxy/syslog/Message.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import streamproxy.records.Told;
+import streamproxy.records.EventText;
 
 /**
  * Makes RFC 5424 messages of records. The header and its limits are section 6.2's, elements section 6.3's, the
@@ -40,51 +40,51 @@
     /** A param that is to be written, or is left out. */
     private static final class Piece {
         final int element;
-        final Told.Param param;
+        final EventText.Param param;
         String value;
         boolean out;
 
-        Piece(int element, Told.Param param) {
+        Piece(int element, EventText.Param param) {
             this.element = element;
             this.param = param;
-            value = Clean.text(param.value());
+            value = SyslogText.text(param.value());
         }
 
-        int size() { return 4 + Clean.size(Clean.name(param.name())) + Clean.size(Clean.escaped(value)); } // ' name="value"'
+        int size() { return 4 + SyslogText.size(SyslogText.name(param.name())) + SyslogText.size(SyslogText.escaped(value)); } // ' name="value"'
     }
 
     private final Origin origin;
     private final String after; // host, app and process, each with a blank ahead
-    private final Told.Element originElement;
+    private final EventText.Element originElement;
 
     public Message(Origin origin) {
         this.origin = origin;
-        after = " " + Clean.header(origin.host, HOST) + " " + Clean.header(origin.app, APP) + " " + origin.processId + " ";
-        originElement = new Told.Element("origin", false, List.of(new Told.Param("software", "streamproxy", 2),
-                new Told.Param("swVersion", origin.version, 1)));
+        after = " " + SyslogText.header(origin.host, HOST) + " " + SyslogText.header(origin.app, APP) + " " + origin.processId + " ";
+        originElement = new EventText.Element("origin", false, List.of(new EventText.Param("software", "streamproxy", 2),
+                new EventText.Param("swVersion", origin.version, 1)));
     }
 
     /** The message without a frame, of at most so many bytes. */
-    public byte[] of(Told told, int sequence, int most) {
-        List<Told.Element> elements = new ArrayList<>(told.elements());
-        elements.add(new Told.Element("meta", false, List.of(new Told.Param("sequenceId", String.valueOf(sequence), 8),
-                new Told.Param("sysUpTime", String.valueOf(Math.max(0, told.atMs() - origin.startedMs) / HUNDREDTH_MS), 1))));
+    public byte[] of(EventText told, int sequence, int most) {
+        List<EventText.Element> elements = new ArrayList<>(told.elements());
+        elements.add(new EventText.Element("meta", false, List.of(new EventText.Param("sequenceId", String.valueOf(sequence), 8),
+                new EventText.Param("sysUpTime", String.valueOf(Math.max(0, told.atMs() - origin.startedMs) / HUNDREDTH_MS), 1))));
         elements.add(originElement);
-        elements.add(new Told.Element("timeQuality", false, List.of(new Told.Param("tzKnown", "1", 0),
-                new Told.Param("isSynced", origin.isSynced ? "1" : "0", 0))));
+        elements.add(new EventText.Element("timeQuality", false, List.of(new EventText.Param("tzKnown", "1", 0),
+                new EventText.Param("isSynced", origin.isSynced ? "1" : "0", 0))));
         String header = "<" + (origin.facility * 8 + told.severity()) + ">1 " + Instant.ofEpochMilli(told.atMs()) + after
-                + Clean.header(told.kind().word(), 32) + " ";
+                + SyslogText.header(told.kind().word(), 32) + " ";
         List<Piece> pieces = new ArrayList<>();
         for (int i = 0; i < elements.size(); i++) {
-            for (Told.Param param : elements.get(i).params()) {
+            for (EventText.Param param : elements.get(i).params()) {
                 pieces.add(new Piece(i, param));
             }
         }
-        String sentence = Clean.text(told.sentence());
+        String sentence = SyslogText.text(told.sentence());
         int room = Math.max(LEAST, most) - header.length();
         int rest = room - size(elements, pieces) - 1 - BOM_BYTES;
         String truncated = "";
-        if (Clean.size(sentence) > rest) {
+        if (SyslogText.size(sentence) > rest) {
             truncated = "msg";
             sentence = fitting(sentence, rest - truncatedSize(truncated));
             if (rest < truncatedSize(truncated)) {
@@ -96,12 +96,12 @@
         if (!sentence.isEmpty()) {
             message.append(' ').append(BOM).append(sentence);
         }
-        return Clean.bytes(message.toString());
+        return SyslogText.bytes(message.toString());
     }
 
     private static String fitting(String clean, int bytes) {
         int end = clean.length();
-        while (end > 0 && (Clean.size(clean.substring(0, end)) > bytes
+        while (end > 0 && (SyslogText.size(clean.substring(0, end)) > bytes
                 || end < clean.length() && Character.isLowSurrogate(clean.charAt(end)))) {
             end--;
         }
@@ -111,14 +111,14 @@
     private static int truncatedSize(String truncated) { return " truncated=\"\"".length() + truncated.length(); }
 
     /** Leaves out params until the rest fits, then shortens what may not be left out; says what it did. */
-    private String cut(List<Told.Element> elements, List<Piece> pieces, int room) {
+    private String cut(List<EventText.Element> elements, List<Piece> pieces, int room) {
         List<Piece> order = new ArrayList<>(pieces);
         java.util.Collections.reverse(order); // the last of equals first: the sort is stable
         order.sort(Comparator.comparingInt(piece -> piece.param.worth()));
         int out = 0;
         String truncated = "msg";
         for (Piece piece : order) {
-            if (size(elements, pieces) + truncatedSize(truncated) <= room || piece.param.worth() >= Told.Param.ID) {
+            if (size(elements, pieces) + truncatedSize(truncated) <= room || piece.param.worth() >= EventText.Param.ID) {
                 break;
             }
             piece.out = true;
@@ -128,18 +128,18 @@
         for (Piece piece : pieces) {
             if (over > 0 && !piece.out) {
                 int before = piece.size();
-                piece.value = Clean.within(piece.value, Math.max(0, Clean.size(Clean.escaped(piece.value)) - over));
+                piece.value = SyslogText.within(piece.value, Math.max(0, SyslogText.size(SyslogText.escaped(piece.value)) - over));
                 over -= before - piece.size();
             }
         }
         return truncated;
     }
 
-    private String id(Told.Element element) {
-        return element.own() ? Clean.name(element.name() + "@" + origin.enterprise) : element.name();
+    private String id(EventText.Element element) {
+        return element.own() ? SyslogText.name(element.name() + "@" + origin.enterprise) : element.name();
     }
 
-    private int size(List<Told.Element> elements, List<Piece> pieces) {
+    private int size(List<EventText.Element> elements, List<Piece> pieces) {
         int size = 0;
         for (int i = 0; i < elements.size(); i++) {
             boolean stands = i == 0;
@@ -154,7 +154,7 @@
         return size;
     }
 
-    private void write(List<Told.Element> elements, List<Piece> pieces, String truncated, StringBuilder to) {
+    private void write(List<EventText.Element> elements, List<Piece> pieces, String truncated, StringBuilder to) {
         for (int i = 0; i < elements.size(); i++) {
             int at = i;
             if (i > 0 && pieces.stream().noneMatch(piece -> piece.element == at && !piece.out)) {
@@ -163,7 +163,7 @@
             to.append('[').append(id(elements.get(i)));
             for (Piece piece : pieces) {
                 if (piece.element == i && !piece.out) {
-                    to.append(' ').append(Clean.name(piece.param.name())).append("=\"").append(Clean.escaped(piece.value)).append('"');
+                    to.append(' ').append(SyslogText.name(piece.param.name())).append("=\"").append(SyslogText.escaped(piece.value)).append('"');
                 }
             }
             if (i == 0 && !truncated.isEmpty()) {
--- a/records/src/main/java/streamproxy/syslog/Source.java
+++ b/records/src/main/java/streamproxy/syslog/Source.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayDeque;
 import streamproxy.records.Event;
-import streamproxy.records.Shape;
+import streamproxy.records.EventFormatter;
 
 /** Where the records come from that a sending thread sends; for that thread alone. */
 interface Source {
@@ -53,7 +53,7 @@
                 next = new Numbered(event, sequence);
             }
             out.add(next);
-            return message.of(Shape.of(next.event), next.sequence, most);
+            return message.of(EventFormatter.of(next.event), next.sequence, most);
         }
 
         @Override public void flushed(long now) {
--- a/records/src/main/java/streamproxy/syslog/SpoolSource.java
+++ b/records/src/main/java/streamproxy/syslog/SpoolSource.java
@@ -5,7 +5,7 @@
 import java.util.ArrayDeque;
 import org.tinylog.Logger;
 import streamproxy.records.Event;
-import streamproxy.records.Shape;
+import streamproxy.records.EventFormatter;
 
 /**
  * Records from a spool. None is taken as arrived before its connection has gone on for a while behind it, as TCP tells
@@ -58,7 +58,7 @@
             }
             try {
                 int number = spool.nextSequence();
-                spool.add(number, message.of(Shape.of(event), number, most));
+                spool.add(number, message.of(EventFormatter.of(event), number, most));
                 failed = false;
             } catch (IOException | RuntimeException e) {
                 queue.gaveUp(event);
--- a/records/src/main/java/streamproxy/syslog/Clean.java
+++ b/records/src/main/java/streamproxy/syslog/SyslogText.java
@@ -3,10 +3,10 @@
 import java.nio.charset.StandardCharsets;
 
 /** What of a text may stand where in a message, RFC 5424 section 6. */
-final class Clean {
+final class SyslogText {
     private static final char REPLACEMENT = '\uFFFD';
 
-    private Clean() { }
+    private SyslogText() { }
 
     /** PRINTUSASCII: other characters become '?', the rest is cut; "-" (NILVALUE) where nothing is left. */
     static String header(String text, int most) {
--- a/records/src/main/java/streamproxy/syslog/reading/Found.java
+++ b/records/src/main/java/streamproxy/syslog/reading/ParsedMessage.java
@@ -11,9 +11,9 @@
  * @param time    null where the message has none (NILVALUE)
  * @param message the text behind the elements, its byte order mark taken off
  */
-public record Found(int facility, int severity, Instant time, String host, String app, String processId, String messageId,
+public record ParsedMessage(int facility, int severity, Instant time, String host, String app, String processId, String messageId,
         List<Element> elements, String message) {
-    public Found { elements = List.copyOf(elements); }
+    public ParsedMessage { elements = List.copyOf(elements); }
 
     /** One SD-ELEMENT, its params in their order. */
     public record Element(String id, List<Param> params) {
--- a/records/src/main/java/streamproxy/syslog/reading/Query.java
+++ b/records/src/main/java/streamproxy/syslog/reading/Query.java
@@ -16,7 +16,7 @@
     private static final String ATTEMPT = "attempt";
 
     /** Whether the message is wanted. */
-    public boolean wants(Found found) {
+    public boolean wants(ParsedMessage found) {
         return is(kind, List.of(found.messageId()))
                 && is(request, List.of(found.value(REQUEST, "id"), found.value(ATTEMPT, "id")))
                 && is(clazz, List.of(found.value(REQUEST, "class")))
--- a/records/src/main/java/streamproxy/syslog/reading/StrictParser.java
+++ b/records/src/main/java/streamproxy/syslog/reading/StrictParser.java
@@ -28,7 +28,7 @@
     private StrictParser(byte[] in) { this.in = in; }
 
     /** Reads a message without its frame. */
-    public static Found parse(byte[] message) throws Malformed { return new StrictParser(message).message(); }
+    public static ParsedMessage parse(byte[] message) throws Malformed { return new StrictParser(message).message(); }
 
     private Malformed wrong(String why) { return new Malformed(at + 1, why); }
 
@@ -41,7 +41,7 @@
         at++;
     }
 
-    private Found message() throws Malformed {
+    private ParsedMessage message() throws Malformed {
         expect('<', "'<'");
         int from = at;
         int priority = number(3);
@@ -67,13 +67,13 @@
         space();
         String id = field(MOST_MESSAGE_ID, "a message id");
         space();
-        List<Found.Element> elements = elements();
+        List<ParsedMessage.Element> elements = elements();
         String text = "";
         if (at < in.length) {
             space();
             text = text();
         }
-        return new Found(priority / 8, priority % 8, time, host, app, process, id, elements, text);
+        return new ParsedMessage(priority / 8, priority % 8, time, host, app, process, id, elements, text);
     }
 
     private void space() throws Malformed { expect(' ', "a blank"); }
@@ -172,8 +172,8 @@
         return (sign == '-' ? -1 : 1) * (60 * hours + minutes);
     }
 
-    private List<Found.Element> elements() throws Malformed {
-        List<Found.Element> elements = new ArrayList<>();
+    private List<ParsedMessage.Element> elements() throws Malformed {
+        List<ParsedMessage.Element> elements = new ArrayList<>();
         if (peek() == '-') {
             at++;
             return elements;
@@ -190,16 +190,16 @@
                 at = from;
                 throw wrong("an element of that name stands before");
             }
-            List<Found.Param> params = new ArrayList<>();
+            List<ParsedMessage.Param> params = new ArrayList<>();
             while (peek() == ' ') {
                 at++;
                 String name = name();
                 expect('=', "'='");
                 expect('"', "'\"'");
-                params.add(new Found.Param(name, value()));
+                params.add(new ParsedMessage.Param(name, value()));
             }
             expect(']', "a blank or ']'");
-            elements.add(new Found.Element(id, params));
+            elements.add(new ParsedMessage.Element(id, params));
         }
         return elements;
     }
--- a/records/src/main/java/streamproxy/syslog/reading/Summary.java
+++ b/records/src/main/java/streamproxy/syslog/reading/Summary.java
@@ -30,7 +30,7 @@
     public Summary(double lateShare) { this.lateShare = lateShare; }
 
     /** Counts one more. */
-    public void add(Found found) {
+    public void add(ParsedMessage found) {
         kinds.merge(found.messageId(), 1L, Long::sum);
         if (found.element(REQUEST).isEmpty()) {
             return;
@@ -49,7 +49,7 @@
         }
     }
 
-    private static double ms(Found found, String name) {
+    private static double ms(ParsedMessage found, String name) {
         try {
             return Double.parseDouble(found.value(REQUEST, name));
         } catch (NumberFormatException e) {
@@ -58,7 +58,7 @@
     }
 
     /** The largest part of the time up to the first event. */
-    private static String why(Found found, double first) {
+    private static String why(ParsedMessage found, double first) {
         if (found.values(REQUEST, "tried").size() > 1) {
             return "tried more than once";
         }
--- a/records/src/test/java/streamproxy/records/NamesTest.java
+++ b/records/src/test/java/streamproxy/records/NamesTest.java
@@ -43,7 +43,7 @@
         }
         Set<String> told = new HashSet<>();
         for (Event event : all()) {
-            for (Told.Element element : Shape.of(event).elements()) {
+            for (EventText.Element element : EventFormatter.of(event).elements()) {
                 assertTrue(element.own());
                 element.params().forEach(p -> told.add(element.name() + " " + p.name().replaceFirst("^dropped_.*", "dropped_KIND")));
             }
@@ -52,14 +52,14 @@
     }
 
     @Test void whatIsNotKnownIsLeftOut() {
-        Told told = Shape.of(new Event.Answered(0, "a", "chat", "", 0, Event.Final.REFUSED, "", "shed", List.of(), -1, -1, -1, -1, -1, -1,
+        EventText told = EventFormatter.of(new Event.Answered(0, "a", "chat", "", 0, Event.Final.REFUSED, "", "shed", List.of(), -1, -1, -1, -1, -1, -1,
                 -1, -1, -1));
-        assertEquals(List.of("id", "end", "class", "decision"), told.elements().get(0).params().stream().map(Told.Param::name).toList());
+        assertEquals(List.of("id", "end", "class", "decision"), told.elements().get(0).params().stream().map(EventText.Param::name).toList());
         assertEquals(Event.Kind.REFUSAL, told.kind());
     }
 
     @Test void theSameEventIsOneLineOfJson() {
-        String line = JsonLine.of(Shape.of(new Event.Answered(0, "a\"\n\u2028\ud800", "chat", "Qu\u1eadn 1", 0, Event.Final.SERVED, "s-1", "list",
+        String line = JsonLine.of(EventFormatter.of(new Event.Answered(0, "a\"\n\u2028\ud800", "chat", "Qu\u1eadn 1", 0, Event.Final.SERVED, "s-1", "list",
                 List.of(TRIED), -1, -1, -1, -1, 1_000_000, -1, -1, -1, -1)));
         assertEquals("{\"time\":\"1970-01-01T00:00:00Z\",\"kind\":\"answer\",\"severity\":6,\"id\":\"a\\\"\\u000a\\u2028\\ud800\",\"end\":\"served\","
                 + "\"class\":\"chat\",\"tenant\":\"Qu\u1eadn 1\",\"box\":\"s-1\",\"decision\":\"list\",\"whole_ms\":\"1.000\","
--- a/records/src/test/java/streamproxy/syslog/StandInCollector.java
+++ b/records/src/test/java/streamproxy/syslog/StandInCollector.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import javax.net.ssl.SSLContext;
-import streamproxy.syslog.reading.Found;
+import streamproxy.syslog.reading.ParsedMessage;
 import streamproxy.syslog.reading.Frames;
 import streamproxy.syslog.reading.Malformed;
 import streamproxy.syslog.reading.StrictParser;
@@ -25,7 +25,7 @@
 final class StandInCollector implements AutoCloseable {
     /** No connection begins at this address by itself, so that a port that was given up can be taken again. */
     static final String HOST = "127.0.0.2";
-    final BlockingQueue<Found> found = new LinkedBlockingQueue<>();
+    final BlockingQueue<ParsedMessage> found = new LinkedBlockingQueue<>();
     final List<String> malformed = new CopyOnWriteArrayList<>();
     final AtomicInteger connections = new AtomicInteger();
     private final List<Socket> open = new CopyOnWriteArrayList<>();
--- a/records/src/test/java/streamproxy/syslog/StrictParserTest.java
+++ b/records/src/test/java/streamproxy/syslog/StrictParserTest.java
@@ -11,14 +11,14 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
-import streamproxy.syslog.reading.Found;
+import streamproxy.syslog.reading.ParsedMessage;
 import streamproxy.syslog.reading.Frames;
 import streamproxy.syslog.reading.Malformed;
 import streamproxy.syslog.reading.StrictParser;
 
 /** The parser against the RFC's own words, not against our formatter: a fault of that must not be mirrored here. */
 class StrictParserTest {
-    private static Found parse(String text) throws Malformed { return StrictParser.parse(text.getBytes(StandardCharsets.UTF_8)); }
+    private static ParsedMessage parse(String text) throws Malformed { return StrictParser.parse(text.getBytes(StandardCharsets.UTF_8)); }
 
     private static int columnOf(String text) { return assertThrows(Malformed.class, () -> parse(text)).column(); }
 
@@ -26,7 +26,7 @@
 
     /** RFC 5424 6.5, examples 1 to 4. */
     @Test void theExamplesOfTheRfcAreRead() throws Malformed {
-        Found first = parse("<34>1 2003-10-11T22:14:15.003Z mymachine.example.com su - ID47 - \uFEFF'su root' failed for lonvick on /dev/pts/8");
+        ParsedMessage first = parse("<34>1 2003-10-11T22:14:15.003Z mymachine.example.com su - ID47 - \uFEFF'su root' failed for lonvick on /dev/pts/8");
         assertEquals(4, first.facility());
         assertEquals(2, first.severity());
         assertEquals(Instant.parse("2003-10-11T22:14:15.003Z"), first.time());
@@ -36,14 +36,14 @@
         assertEquals("ID47", first.messageId());
         assertEquals(0, first.elements().size());
         assertEquals("'su root' failed for lonvick on /dev/pts/8", first.message());
-        Found second = parse("<165>1 2003-08-24T05:14:15.000003-07:00 192.0.2.1 myproc 8710 - - %% It's time to make the do-nuts.");
+        ParsedMessage second = parse("<165>1 2003-08-24T05:14:15.000003-07:00 192.0.2.1 myproc 8710 - - %% It's time to make the do-nuts.");
         assertEquals(Instant.parse("2003-08-24T12:14:15.000003Z"), second.time());
         assertEquals("8710", second.processId());
-        Found third = parse("<165>1 2003-10-11T22:14:15.003Z mymachine.example.com evntslog - ID47 [exampleSDID@32473 iut=\"3\" "
+        ParsedMessage third = parse("<165>1 2003-10-11T22:14:15.003Z mymachine.example.com evntslog - ID47 [exampleSDID@32473 iut=\"3\" "
                 + "eventSource=\"Application\" eventID=\"1011\"] \uFEFFAn application event log entry...");
         assertEquals("1011", third.value("exampleSDID", "eventID"));
         assertEquals("An application event log entry...", third.message());
-        Found fourth = parse("<165>1 2003-10-11T22:14:15.003Z mymachine.example.com evntslog - ID47 [exampleSDID@32473 iut=\"3\" "
+        ParsedMessage fourth = parse("<165>1 2003-10-11T22:14:15.003Z mymachine.example.com evntslog - ID47 [exampleSDID@32473 iut=\"3\" "
                 + "eventSource=\"Application\" eventID=\"1011\"][examplePriority@32473 class=\"high\"]");
         assertEquals(2, fourth.elements().size());
         assertEquals("high", fourth.value("examplePriority", "class"));
@@ -52,7 +52,7 @@
 
     /** RFC 5424 6.3.5: a blank between two elements ends them, one behind the bracket is none of theirs. */
     @Test void theRfcsOddExamplesAreReadAsItSays() throws Malformed {
-        Found blank = parse("<0>1 - - - - - [exampleSDID@32473 iut=\"3\"] [examplePriority@32473 class=\"high\"]");
+        ParsedMessage blank = parse("<0>1 - - - - - [exampleSDID@32473 iut=\"3\"] [examplePriority@32473 class=\"high\"]");
         assertEquals(1, blank.elements().size());
         assertEquals("[examplePriority@32473 class=\"high\"]", blank.message());
         assertEquals(17, columnOf("<0>1 - - - - - [ exampleSDID@32473 iut=\"3\"]"));
--- a/records/src/test/java/streamproxy/syslog/SyslogStories.java
+++ b/records/src/test/java/streamproxy/syslog/SyslogIntegrationTest.java
@@ -17,10 +17,10 @@
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
 import streamproxy.records.Event;
-import streamproxy.syslog.reading.Found;
+import streamproxy.syslog.reading.ParsedMessage;
 
 /** What collectors do to the records, and that nothing of it reaches those who make them. */
-public class SyslogStories {
+public class SyslogIntegrationTest {
     private static final long MS = 1_000_000L;
     private static final String PASSWORD = "stand-in";
 
@@ -393,7 +393,7 @@
         make(syslog, 0, 10);
         await("their number is told", () -> at.found.stream().filter(f -> f.messageId().equals("queue"))
                 .mapToLong(f -> Long.parseLong(f.value("queue", "sent"))).sum() == 10);
-        Found first = at.found.stream().filter(f -> f.messageId().equals("queue")).findFirst().orElseThrow();
+        ParsedMessage first = at.found.stream().filter(f -> f.messageId().equals("queue")).findFirst().orElseThrow();
         assertEquals("main", first.value("queue", "collector"));
         assertEquals("0", first.value("queue", "dropped"));
     }
--- a/router/src/main/java/streamproxy/program/HangUp.java
+++ b/router/src/main/java/streamproxy/program/HangupSignal.java
@@ -6,15 +6,15 @@
  * SIGHUP. The JDK tells of signals in {@code sun.misc.Signal} alone, a class that javac warns of and lets nobody
  * silence; so it is reached by its name.
  */
-final class HangUp {
-    private HangUp() { }
+final class HangupSignal {
+    private HangupSignal() { }
 
     /** From now on SIGHUP does not end the program but runs this, on a thread of its own. */
     static void then(Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object acts = Proxy.newProxyInstance(HangUp.class.getClassLoader(), new Class<?>[] {handler}, (self, method, with) -> {
+            Object acts = Proxy.newProxyInstance(HangupSignal.class.getClassLoader(), new Class<?>[] {handler}, (self, method, with) -> {
                 action.run();
                 return null;
             });
--- a/router/src/main/java/streamproxy/program/JsonLog.java
+++ b/router/src/main/java/streamproxy/program/JsonLog.java
@@ -5,7 +5,7 @@
 import org.tinylog.TaggedLogger;
 import streamproxy.records.Event;
 import streamproxy.records.JsonLine;
-import streamproxy.records.Shape;
+import streamproxy.records.EventFormatter;
 import streamproxy.syslog.RecordQueue;
 
 /** Records as JSON lines on standard error, through tinylog, by a thread of its own. */
@@ -33,7 +33,7 @@
                 boolean last = over; // what is offered before it is over is written
                 Event event = queue.poll();
                 if (event != null) {
-                    log.info(JsonLine.of(Shape.of(event)));
+                    log.info(JsonLine.of(EventFormatter.of(event)));
                 } else if (queue.dropped() > saidDropped) {
                     log.info("{\"kind\":\"queue\",\"collector\":\"standard error\",\"dropped\":" + (queue.dropped() - saidDropped) + "}");
                     saidDropped = queue.dropped();
--- a/router/src/main/java/streamproxy/program/LogCommand.java
+++ b/router/src/main/java/streamproxy/program/LogCommand.java
@@ -19,7 +19,7 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import streamproxy.records.JsonLine;
-import streamproxy.syslog.reading.Found;
+import streamproxy.syslog.reading.ParsedMessage;
 import streamproxy.syslog.reading.Frames;
 import streamproxy.syslog.reading.Malformed;
 import streamproxy.syslog.reading.Query;
@@ -118,7 +118,7 @@
                 if (message == null) {
                     return;
                 }
-                Found found = StrictParser.parse(message);
+                ParsedMessage found = StrictParser.parse(message);
                 if (query.wants(found)) {
                     if (sum) {
                         summary.add(found);
@@ -133,7 +133,7 @@
         }
     }
 
-    private static String row(Found found) {
+    private static String row(ParsedMessage found) {
         String id = found.value(REQUEST, "id") + found.value("attempt", "id");
         String end = found.value(REQUEST, "end") + found.value("attempt", "outcome") + found.value("box", "state");
         String which = found.value(REQUEST, "box") + found.value("attempt", "box") + found.value("box", "id");
@@ -141,14 +141,14 @@
                 found.messageId(), id, found.value(REQUEST, "class"), end, which, found.value(REQUEST, "whole_ms"), found.message());
     }
 
-    private static String jsonLine(Found found) {
+    private static String jsonLine(ParsedMessage found) {
         List<String> parts = new ArrayList<>();
         parts.add("\"time\":" + (found.time() == null ? "null" : JsonLine.quoted(found.time().toString())));
         parts.add("\"severity\":" + found.severity());
         parts.add("\"host\":" + JsonLine.quoted(found.host()));
         parts.add("\"kind\":" + JsonLine.quoted(found.messageId()));
-        for (Found.Element element : found.elements()) {
-            parts.add(JsonLine.quoted(element.name()) + ":" + element.params().stream().map(Found.Param::name).distinct()
+        for (ParsedMessage.Element element : found.elements()) {
+            parts.add(JsonLine.quoted(element.name()) + ":" + element.params().stream().map(ParsedMessage.Param::name).distinct()
                     .map(name -> JsonLine.quoted(name) + ":" + values(found.values(element.name(), name)))
                     .collect(Collectors.joining(",", "{", "}")));
         }
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.tinylog.Logger;
 import streamproxy.limits.Admission;
-import streamproxy.limits.ComeBack;
+import streamproxy.limits.RetryAfterSchedule;
 import streamproxy.limits.ConnectionLimits;
 import streamproxy.protocol.EndpointEntry;
 import streamproxy.protocol.NodeConfig;
@@ -21,7 +21,7 @@
 import streamproxy.routing.SharedList;
 import streamproxy.decision.Routing;
 import streamproxy.decision.SettingsText;
-import streamproxy.routing.TakenIds;
+import streamproxy.routing.RecentRequestIds;
 import streamproxy.routing.Watchdog;
 import streamproxy.syslog.Syslog;
 import streamproxy.transport.Budget;
@@ -100,8 +100,8 @@
         Routing.Limits may = settings.limits();
         classes.set(classes(text, settings, operator));
         clients = new ClientConnections(new ClientConnections.Desk(module, clock, classes, text.deployment().tenants(), bodyBytes,
-                new TakenIds(), quiet, timers, () -> lifecycle.ready() && module.knowsBoxes(), lifecycle::leaving,
-                new ComeBack(config.seed()), may.retryAfter() ? may.maxRetryAfterNs() : 0, recording.records(), heldBytes),
+                new RecentRequestIds(), quiet, timers, () -> lifecycle.ready() && module.knowsBoxes(), lifecycle::leaving,
+                new RetryAfterSchedule(config.seed()), may.retryAfter() ? may.maxRetryAfterNs() : 0, recording.records(), heldBytes),
                 limits);
         listener = new Listener(config.listen(), clients);
         operatorCalls = config.operator() == null ? null : new OperatorCalls(config.operator(), new OperatorCalls.Desk() {
--- a/router/src/main/java/streamproxy/program/Serving.java
+++ b/router/src/main/java/streamproxy/program/Serving.java
@@ -22,7 +22,7 @@
     /** The same as a member of a fleet. */
     static int run(Operator operator, Fleet fleet) throws Unusable, IOException, InterruptedException {
         Semaphore hangUps = new Semaphore(0);
-        HangUp.then(hangUps::release); // first of all: unhandled, SIGHUP ends a JVM
+        HangupSignal.then(hangUps::release); // first of all: unhandled, SIGHUP ends a JVM
         Router router = new Router(NodeConfig.read(System.getenv()), operator.read(), fleet);
         Thread.setDefaultUncaughtExceptionHandler((thread, e) -> Logger.error(e, "in thread {}", thread.getName()));
         // SIGTERM runs this hook; other threads go on until it is done, and the exit code is 0 then.
--- a/router/src/main/java/streamproxy/protocol/OperatorFile.java
+++ b/router/src/main/java/streamproxy/protocol/OperatorFile.java
@@ -11,7 +11,7 @@
 import streamproxy.protocol.NodeConfig.Unusable;
 import streamproxy.streams.RetryBudget;
 import streamproxy.streams.StreamLimits;
-import streamproxy.streams.Together;
+import streamproxy.streams.StallCorrelator;
 
 /**
  * What the operator of an installation sets beyond what the platform tells: a file of sections and keys (INI).
@@ -202,8 +202,8 @@
     }
 
     /** What tells streams of a box that stall together; null where no stall is looked for but by the settings' limit. */
-    public Together stalls() {
-        return get(Key.STALL_FACTOR) > 0 ? new Together(STALL_WINDOW, STALL_SHARE, STALL_STREAMS) : null;
+    public StallCorrelator stalls() {
+        return get(Key.STALL_FACTOR) > 0 ? new StallCorrelator(STALL_WINDOW, STALL_SHARE, STALL_STREAMS) : null;
     }
 
     /** What the file wishes for connections. */
--- a/router/src/main/java/streamproxy/routing/HeldAnswer.java
+++ b/router/src/main/java/streamproxy/routing/AnswerBuffer.java
@@ -13,7 +13,7 @@
  * client is bounded in bytes, for each answer and for all together; while as much waits as may, the box is not read and
  * no thread waits there. {@link StreamState} decides; this carries it out.
  */
-final class HeldAnswer implements Client {
+final class AnswerBuffer implements Client {
     enum Kind { EVENT, ENDED, BROKEN, REFUSED, FAILED }
 
     /** What the client gets next. */
@@ -36,14 +36,14 @@
     private boolean left; // guarded by looking, as is the next
     private boolean answering;
 
-    HeldAnswer(StreamLimits limits, Budget all, long now) { this(limits, all, now, () -> false); }
+    AnswerBuffer(StreamLimits limits, Budget all, long now) { this(limits, all, now, () -> false); }
 
     /**
      * @param all   bytes that all answers together may hold
      * @param ended looks at the client's connection, without waiting, whether the client has ended it; asked by one thread
      *              at a time, and by none but the client's own once there is an answer to write
      */
-    HeldAnswer(StreamLimits limits, Budget all, long now, BooleanSupplier ended) {
+    AnswerBuffer(StreamLimits limits, Budget all, long now, BooleanSupplier ended) {
         state = new StreamState(limits, now);
         this.all = all;
         this.ended = ended;
--- a/router/src/main/java/streamproxy/routing/ClientConnections.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnections.java
@@ -7,9 +7,9 @@
 import java.util.function.BooleanSupplier;
 import org.tinylog.Logger;
 import streamproxy.limits.Admission;
-import streamproxy.limits.ComeBack;
+import streamproxy.limits.RetryAfterSchedule;
 import streamproxy.limits.ConnectionLimits;
-import streamproxy.limits.Pace;
+import streamproxy.limits.TokenBucket;
 import streamproxy.protocol.HttpWriter;
 import streamproxy.transport.Budget;
 import streamproxy.transport.Connection;
@@ -31,8 +31,8 @@
      * @param comeBackMostNs the longest wait that clients heed, in nanoseconds; 0 where they are told none
      */
     public record Desk(ModuleActor module, Clock clock, AtomicReference<Classes> classes, List<String> tenants, Budget bodyBytes,
-            TakenIds taken, QuietConnections quiet, Timers timers, BooleanSupplier ready, BooleanSupplier leaving,
-            ComeBack comeBack, long comeBackMostNs, Records records, Budget heldBytes) {
+            RecentRequestIds taken, QuietConnections quiet, Timers timers, BooleanSupplier ready, BooleanSupplier leaving,
+            RetryAfterSchedule comeBack, long comeBackMostNs, Records records, Budget heldBytes) {
         static String retryAfter(long ns) { return "Retry-After: " + String.format(Locale.ROOT, "%.3f", ns / SECOND); }
     }
 
@@ -52,14 +52,14 @@
 
     private final Desk desk;
     private final Admission admission;
-    private final Pace pace;
+    private final TokenBucket pace;
     private boolean finishing;
     private boolean quiesced;
 
     public ClientConnections(Desk desk, ConnectionLimits limits) {
         this.desk = desk;
         admission = new Admission(limits, SLOW);
-        pace = new Pace(limits.acceptsPerS(), System.nanoTime());
+        pace = new TokenBucket(limits.acceptsPerS(), System.nanoTime());
     }
 
     Desk desk() { return desk; }
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -24,7 +24,7 @@
     /** Closes the connection of a client that does not read its answer; else it would hold its thread for ever. */
     private final class Stall extends TimerWheel.Timer {
         @Override protected void due(long now) {
-            HeldAnswer held = answer;
+            AnswerBuffer held = answer;
             if (connection.stalled(held == null ? STALLED : 2 * held.lagNs()) || held != null && held.isTooSlow()) {
                 connection.close();
             } else {
@@ -55,8 +55,8 @@
     private final HttpReader reader;
     private final HttpWriter writer;
     private final Stall stall = new Stall();
-    private final WholeTime whole;
-    private volatile HeldAnswer answer; // of the request that is served; null before
+    private final RequestReadTimeout whole;
+    private volatile AnswerBuffer answer; // of the request that is served; null before
     private boolean begun; // some of its answer is written
     // Of the answer that is being given; this thread alone touches them.
     private Event.Final how;
@@ -69,7 +69,7 @@
         this.at = at;
         this.connection = connection;
         this.desk = desk;
-        whole = new WholeTime(connection, desk.timers());
+        whole = new RequestReadTimeout(connection, desk.timers());
         reader = new HttpReader(connection);
         writer = new HttpWriter(connection);
     }
@@ -182,7 +182,7 @@
             desk.records().turnedAway(prompted, "taken_before");
             throw new BadMessage(409, "Req-Id is taken"); // a box would see a second copy of that request
         }
-        HeldAnswer held = new HeldAnswer(streams, desk.heldBytes(), System.nanoTime(), connection::hasEnded);
+        AnswerBuffer held = new AnswerBuffer(streams, desk.heldBytes(), System.nanoTime(), connection::hasEnded);
         answer = held;
         Request request = new Request(prompted, Math.max(0, desk.tenants().indexOf(prompted.tenant())),
                 new PassedOn(head.method(), head.target(), prompted.id(), body), held, desk.clock().now());
@@ -212,11 +212,11 @@
         return at.whole();
     }
 
-    private Then answer(Request request, HeldAnswer held, HttpHead head) throws IOException, InterruptedException {
+    private Then answer(Request request, AnswerBuffer held, HttpHead head) throws IOException, InterruptedException {
         boolean closes = false;
         try {
             while (true) {
-                HeldAnswer.Letter letter = held.next(lookAfter(request));
+                AnswerBuffer.Letter letter = held.next(lookAfter(request));
                 if (letter == null) {
                     if (held.hasLeft()) {
                         desk.module().left(request);
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -13,7 +13,7 @@
 import streamproxy.decision.SettingsText;
 import streamproxy.protocol.EndpointEntry;
 import streamproxy.streams.RetryBudget;
-import streamproxy.streams.Together;
+import streamproxy.streams.StallCorrelator;
 import streamproxy.timing.TimerWheel;
 import streamproxy.decision.Routing.Health;
 import streamproxy.decision.Routing.ListForm;
@@ -89,7 +89,7 @@
     private final Map<Long, EndpointEntry> known = new HashMap<>(); // as the list told of them last
     private final Map<Long, String> states = new HashMap<>(); // of boxes, for records alone
     private final Records records;
-    private final Together stalls; // null: each silence is its own
+    private final StallCorrelator stalls; // null: each silence is its own
     private final TimerWheel wheel;
     /** Events that an action brings about at once; the module gets them after the event it is at. */
     private final ArrayDeque<Message> own = new ArrayDeque<>();
@@ -106,7 +106,7 @@
      * @param retries what may be sent again for all requests together; null where that is not bounded
      * @param stalls  tells streams of one box that fall silent together; null where each is reported by itself
      */
-    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes, Records records, RetryBudget retries, Together stalls) {
+    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes, Records records, RetryBudget retries, StallCorrelator stalls) {
         super("module", MAILBOX);
         this.records = records;
         this.stalls = stalls;
--- a/router/src/main/java/streamproxy/routing/TakenIds.java
+++ b/router/src/main/java/streamproxy/routing/RecentRequestIds.java
@@ -8,7 +8,7 @@
  * The ids of the requests that were taken lately. An id differs with every request, a client's retry included: one
  * that comes again is another client's mistake, and passed on it would be a second copy of the first.
  */
-public final class TakenIds {
+public final class RecentRequestIds {
     /** Longer than any request stays open, and how many are kept at most. */
     private static final long MEMORY = 60_000_000_000L;
     private static final int MOST = 8192;
--- a/router/src/main/java/streamproxy/routing/Replica.java
+++ b/router/src/main/java/streamproxy/routing/Replica.java
@@ -13,7 +13,7 @@
 import streamproxy.decision.Routing.Outcome;
 import streamproxy.limits.ConnectionLimits;
 import streamproxy.limits.PoolLimits;
-import streamproxy.limits.Ring;
+import streamproxy.limits.IntrusiveList;
 import streamproxy.transport.Budget;
 import streamproxy.transport.Connection;
 import streamproxy.transport.QuietConnections;
@@ -80,8 +80,8 @@
     private final Budget budget;
     private volatile InetSocketAddress endpoint;
     private volatile boolean ready;
-    private final Ring<ReplicaConnection> lately = new Ring<>(); // idle, the last used last
-    private final Ring<ReplicaConnection> resting = new Ring<>(); // idle for longer, and watched
+    private final IntrusiveList<ReplicaConnection> lately = new IntrusiveList<>(); // idle, the last used last
+    private final IntrusiveList<ReplicaConnection> resting = new IntrusiveList<>(); // idle for longer, and watched
     private final ArrayDeque<ReplicaConnection.Errand> queue = new ArrayDeque<>();
     private final ArrayDeque<Wanting> wanting = new ArrayDeque<>();
     private final Set<Replica> all;
@@ -200,7 +200,7 @@
         } else if (message instanceof Idle m) {
             rest(m.connection);
         } else if (message instanceof Over m) {
-            Ring.leave(m.connection);
+            IntrusiveList.leave(m.connection);
             m.connection.dismiss();
         }
     }
@@ -220,7 +220,7 @@
             return;
         }
         for (ReplicaConnection at = resting.last(); at != null; at = resting.last()) {
-            Ring.leave(at);
+            IntrusiveList.leave(at);
             if (usable(at)) {
                 wake(at, errand);
                 return;
@@ -237,10 +237,10 @@
         for (ReplicaConnection at = lately.last(); at != null;) {
             ReplicaConnection earlier = lately.before(at);
             if (!usable(at) || !at.quiet()) {
-                Ring.leave(at);
+                IntrusiveList.leave(at);
                 at.dismiss();
             } else if (at.idleSince() <= idleSince) {
-                Ring.leave(at);
+                IntrusiveList.leave(at);
                 run(at, errand);
                 return true;
             }
@@ -307,14 +307,14 @@
     private void giveUpOne(Replica wanting) {
         if (!resting.isEmpty()) {
             ReplicaConnection at = resting.first();
-            Ring.leave(at);
+            IntrusiveList.leave(at);
             at.wake(still -> {
                 at.dismiss();
                 wanting.offer(new Place());
             });
         } else if (!lately.isEmpty()) {
             ReplicaConnection at = lately.first();
-            Ring.leave(at);
+            IntrusiveList.leave(at);
             at.dismiss();
             wanting.offer(new Place());
         }
@@ -391,7 +391,7 @@
             stop();
         }
         for (ReplicaConnection at = lately.first(); at != null && restsAt(at) <= clock.now(); at = lately.first()) {
-            Ring.leave(at);
+            IntrusiveList.leave(at);
             if (usable(at)) {
                 resting.addLast(at);
                 at.watchUntil(at.idleSince() + keepNs());
@@ -409,11 +409,11 @@
 
     private void letGo() {
         for (ReplicaConnection at = lately.last(); at != null; at = lately.last()) {
-            Ring.leave(at);
+            IntrusiveList.leave(at);
             at.dismiss();
         }
         for (ReplicaConnection at = resting.last(); at != null; at = resting.last()) {
-            Ring.leave(at);
+            IntrusiveList.leave(at);
             dismissWatched(at);
         }
     }
--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -18,13 +18,13 @@
 import streamproxy.protocol.PassedOn;
 import streamproxy.decision.Routing.LoadReport;
 import streamproxy.decision.Routing.Outcome;
-import streamproxy.limits.Ring;
+import streamproxy.limits.IntrusiveList;
 import streamproxy.transport.Connection;
 import streamproxy.transport.QuietConnections;
 import streamproxy.transport.Threads;
 
 /** One connection to a model box, and the thread that connects, writes and reads on it while it has an errand. */
-final class ReplicaConnection extends Ring.Link implements QuietConnections.Owner {
+final class ReplicaConnection extends IntrusiveList.Link implements QuietConnections.Owner {
     /** An attempt to carry, or, where that is null, a probe asked for at that time. */
     record Errand(Attempt attempt, long probeAt) { }
 
--- a/router/src/main/java/streamproxy/routing/WholeTime.java
+++ b/router/src/main/java/streamproxy/routing/RequestReadTimeout.java
@@ -8,7 +8,7 @@
  * Ends the reading of a request that is not whole in time; a byte now and then must not hold a place for ever. A router
  * short of CPU may be the one that is late: bytes that wait to be read are read first.
  */
-final class WholeTime extends TimerWheel.Timer {
+final class RequestReadTimeout extends TimerWheel.Timer {
     /** How soon is looked again at a request whose time is over while bytes of it wait to be read. */
     private static final long LOOK_AGAIN = 50_000_000L;
 
@@ -16,7 +16,7 @@
     private final Timers timers;
     private volatile boolean over;
 
-    WholeTime(Connection connection, Timers timers) {
+    RequestReadTimeout(Connection connection, Timers timers) {
         this.connection = connection;
         this.timers = timers;
     }
--- a/router/src/main/java/streamproxy/routing/Watchdog.java
+++ b/router/src/main/java/streamproxy/routing/Watchdog.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 import org.tinylog.Logger;
-import streamproxy.timing.Turning;
+import streamproxy.timing.StallDetector;
 import streamproxy.transport.Threads;
 
 /**
@@ -21,14 +21,14 @@
     private static final int FRAMES = 12;
     private static final String PROCESS = "process";
 
-    private final Map<Actor<?>, Turning> watched = new ConcurrentHashMap<>();
+    private final Map<Actor<?>, StallDetector> watched = new ConcurrentHashMap<>();
     private final Records records;
 
     public Watchdog(Records records) { this.records = records; }
 
     public void start() { Threads.start("watchdog", this::run); }
 
-    void watch(Actor<?> actor) { watched.put(actor, new Turning(LONGEST_MS * MS, LOOK_MS * MS)); }
+    void watch(Actor<?> actor) { watched.put(actor, new StallDetector(LONGEST_MS * MS, LOOK_MS * MS)); }
 
     void ended(Actor<?> actor) { watched.remove(actor); }
 
--- a/router/src/test/java/streamproxy/routing/ExchangeTest.java
+++ b/router/src/test/java/streamproxy/routing/ExchangeTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import streamproxy.decision.SettingsText;
-import streamproxy.limits.ComeBack;
+import streamproxy.limits.RetryAfterSchedule;
 import streamproxy.limits.ConnectionLimits;
 import streamproxy.protocol.PromptHeaders;
 import streamproxy.streams.StreamLimits;
@@ -64,8 +64,8 @@
         module = new ModuleActor(text, 1, clock, new Replicas(new Replicas.Desk(text.deployment(), text.reportLayout(),
                 new Budget(10), clock, quiet, () -> limits, new Watchdog(Records.NONE))));
         listener = new Listener(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), new ClientConnections(
-                new ClientConnections.Desk(module, clock, classes, List.of(), new Budget(1 << 20), new TakenIds(), quiet, timers,
-                        () -> true, () -> false, new ComeBack(1), 0, Records.NONE, new Budget(1 << 20)), limits));
+                new ClientConnections.Desk(module, clock, classes, List.of(), new Budget(1 << 20), new RecentRequestIds(), quiet, timers,
+                        () -> true, () -> false, new RetryAfterSchedule(1), 0, Records.NONE, new Budget(1 << 20)), limits));
         listener.start();
         client = new Socket(listener.address().getAddress(), listener.address().getPort());
         client.setSoTimeout(15_000);
--- a/router/src/test/java/streamproxy/routing/TakenIdsTest.java
+++ b/router/src/test/java/streamproxy/routing/RecentRequestIdsTest.java
@@ -5,10 +5,10 @@
 
 import org.junit.jupiter.api.Test;
 
-class TakenIdsTest {
+class RecentRequestIdsTest {
     /** At 137 requests a second or more the memory filled up, and from then on each request was closed unanswered. */
     @Test void aFullMemoryForgetsTheOldestAndGoesOn() {
-        TakenIds taken = new TakenIds();
+        RecentRequestIds taken = new RecentRequestIds();
         for (int i = 0; i < 20_000; i++) {
             assertTrue(taken.add("id" + i), "id" + i);
         }
--- a/router/src/test/java/streamproxy/routing/ReplicaStories.java
+++ b/router/src/test/java/streamproxy/routing/ReplicaIntegrationTest.java
@@ -26,7 +26,7 @@
 import streamproxy.transport.QuietConnections;
 
 /** A model box's actor by itself, with what cannot be timed from outside. */
-public class ReplicaStories {
+public class ReplicaIntegrationTest {
     private static final long SECOND = 1_000_000_000L;
     private static final String SETTINGS = """
             Balancers=1
@@ -69,7 +69,7 @@
 
     private Attempt attempt(String id, BooleanSupplier waiting, long window, int bodySize) {
         PromptHeaders prompt = new PromptHeaders(id, "c", "", 1, 4 * SECOND, 0, 10, 0, 10, false);
-        Client client = new HeldAnswer(new StreamLimits(1_000, SECOND, SECOND, SECOND, 8), new Budget(1000), System.nanoTime(),
+        Client client = new AnswerBuffer(new StreamLimits(1_000, SECOND, SECOND, SECOND, 8), new Budget(1000), System.nanoTime(),
                 () -> !waiting.getAsBoolean());
         Request request = new Request(prompt, 0, new PassedOn("POST", "/", id, new byte[bodySize]), client, clock.now());
         return new Attempt(request, 0, 7, "s-1", null, clock.now(), clock.now() + 4 * SECOND, clock.now() + window);
--- a/router/src/test/java/streamproxy/routing/WholeTimeTest.java
+++ b/router/src/test/java/streamproxy/routing/RequestReadTimeoutTest.java
@@ -17,14 +17,14 @@
 import streamproxy.transport.Timers;
 
 /** On a day of restarts requests were ended whose bytes the router, short of CPU, had not read yet. */
-class WholeTimeTest {
+class RequestReadTimeoutTest {
     @Test void bytesThatWaitAreReadFirstAndThenTheTimeHolds() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
                 Connection connection = Connection.open(new Budget(1))) {
             connection.connect((InetSocketAddress) server.getLocalSocketAddress(), 1_000_000_000L);
             try (Socket peer = server.accept()) {
                 Timers timers = new Timers(); // not started: the test has its timers go off
-                WholeTime whole = new WholeTime(connection, timers);
+                RequestReadTimeout whole = new RequestReadTimeout(connection, timers);
                 peer.getOutputStream().write('a');
                 for (long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10); !connection.hasArrived();) {
                     assertTrue(System.nanoTime() < until, "not in time");
--- a/router/src/test/java/streamproxy/stories/ConnectionStories.java
+++ b/router/src/test/java/streamproxy/stories/ConnectionIntegrationTest.java
@@ -25,7 +25,7 @@
 import streamproxy.protocol.OperatorReader;
 
 /** What many connections, idle, mute, gone and back at once, do to those that ask. */
-public class ConnectionStories {
+public class ConnectionIntegrationTest {
     private static final String END = "0\r\n\r\n";
     private static final ScriptedBox.Script SERVES = e -> e.stream("data: one\n\n", "data: [DONE]\n\n");
     private static final String PATIENT = "client_idle_s = 600\nclient_mute_s = 600\n";
@@ -258,7 +258,7 @@
     }
 
     private static Process startWith200Descriptors(Deployment deployment) throws IOException {
-        return ProgramStories.start(deployment.environment, List.of("sh", "-c", "ulimit -n 200; exec \"$@\"", "sh"), "serve");
+        return ProgramIntegrationTest.start(deployment.environment, List.of("sh", "-c", "ulimit -n 200; exec \"$@\"", "sh"), "serve");
     }
 
     /** The system's limit may be lower than the platform says: idle connections go, and who asks is served. */
@@ -269,7 +269,7 @@
         Process program = startWith200Descriptors(deployment);
         InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
         try {
-            ProgramStories.awaitReady(at, program);
+            ProgramIntegrationTest.awaitReady(at, program);
             List<Socket> idle = new ArrayList<>();
             for (int i = 0; i < 400; i++) {
                 Socket socket = keep(new Socket("127.0.0.1", port));
@@ -307,7 +307,7 @@
         Process program = startWith200Descriptors(deployment);
         InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
         try {
-            ProgramStories.awaitReady(at, program);
+            ProgramIntegrationTest.awaitReady(at, program);
             List<Socket> idle = new ArrayList<>();
             for (int i = 0; i < 400; i++) {
                 Socket socket = keep(new Socket("127.0.0.1", port));
--- a/router/src/test/java/streamproxy/stories/DiscoveryIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/DiscoveryIntegrationTest.java
@@ -19,7 +19,7 @@
 import streamproxy.protocol.OperatorFile;
 
 /** Service discovery where two events cross: silence and a call that hangs, moves and answers, answers that tell nothing. */
-public class DiscoveryIntegrationTest extends Story {
+public class DiscoveryIntegrationTest extends RouterTestBase {
     private static final long TOLD = TimeUnit.SECONDS.toNanos(6);
 
     private void reload(Deployment deployment) {
--- a/router/src/test/java/streamproxy/stories/FleetStories.java
+++ b/router/src/test/java/streamproxy/stories/FleetIntegrationTest.java
@@ -28,7 +28,7 @@
 import streamproxy.routing.SharedList;
 
 /** What becomes of a fleet of boxes and of the service that lists them, and what the router makes of it. */
-public class FleetStories extends Story {
+public class FleetIntegrationTest extends RouterTestBase {
     private static final String END = "0\r\n\r\n";
 
     private int asked;
--- a/router/src/test/java/streamproxy/stories/LeavingStories.java
+++ b/router/src/test/java/streamproxy/stories/LeavingIntegrationTest.java
@@ -14,7 +14,7 @@
 import org.junit.Test;
 
 /** Clients that go, half or whole, with bytes on their way; and connections that the router ends while bytes come. */
-public class LeavingStories extends Story {
+public class LeavingIntegrationTest extends RouterTestBase {
     private static final String END = "0\r\n\r\n";
 
     private Socket client() throws IOException {
--- a/router/src/test/java/streamproxy/stories/OperatorStories.java
+++ b/router/src/test/java/streamproxy/stories/OperatorIntegrationTest.java
@@ -9,7 +9,7 @@
 import org.junit.Test;
 
 /** What operators call where they are listened to, and what that does to clients. */
-public class OperatorStories extends Story {
+public class OperatorIntegrationTest extends RouterTestBase {
     private Deployment withOperator(ScriptedBox... boxes) throws Exception {
         Deployment deployment = keep(Deployment.of(boxes));
         deployment.configureOperator("127.0.0.1:0");
--- a/router/src/test/java/streamproxy/stories/ProgramStories.java
+++ b/router/src/test/java/streamproxy/stories/ProgramIntegrationTest.java
@@ -26,7 +26,7 @@
 import streamproxy.program.Main;
 
 /** Starts the program itself, as its users do, and speaks to it over sockets. */
-public class ProgramStories {
+public class ProgramIntegrationTest {
     /** Starts the program, with {@code before} in front of the command that does. */
     private static String classPath;
 
--- a/router/src/test/java/streamproxy/stories/RecordsStories.java
+++ b/router/src/test/java/streamproxy/stories/RecordsIntegrationTest.java
@@ -26,18 +26,18 @@
 import streamproxy.protocol.NodeConfig;
 import streamproxy.protocol.OperatorFile;
 import streamproxy.protocol.OperatorReader;
-import streamproxy.syslog.reading.Found;
+import streamproxy.syslog.reading.ParsedMessage;
 import streamproxy.syslog.reading.Frames;
 import streamproxy.syslog.reading.Malformed;
 import streamproxy.syslog.reading.StrictParser;
 
 /** Every answer, refusal and drain of a router is one record at its collector. */
-public class RecordsStories {
+public class RecordsIntegrationTest {
     private static final String END = "0\r\n\r\n";
     private static final ScriptedBox.Script SERVES = e -> e.stream("data: one\n\n", "data: two\n\n", "data: [DONE]\n\n");
 
     private final List<AutoCloseable> opened = new ArrayList<>();
-    private final List<Found> found = new CopyOnWriteArrayList<>();
+    private final List<ParsedMessage> found = new CopyOnWriteArrayList<>();
     private final List<String> malformed = new CopyOnWriteArrayList<>();
     private Deployment deployment;
     private Router router;
@@ -104,13 +104,13 @@
         await("ready", () -> !of("phase", f -> f.value("phase", "name").equals("serving")).isEmpty());
     }
 
-    private List<Found> of(String element, Predicate<Found> which) {
+    private List<ParsedMessage> of(String element, Predicate<ParsedMessage> which) {
         return found.stream().filter(f -> f.element(element).isPresent() && which.test(f)).toList();
     }
 
-    private Found request(String id) throws Exception {
+    private ParsedMessage request(String id) throws Exception {
         await("the record of " + id, () -> !of("request", f -> f.value("request", "id").equals(id)).isEmpty());
-        List<Found> records = of("request", f -> f.value("request", "id").equals(id));
+        List<ParsedMessage> records = of("request", f -> f.value("request", "id").equals(id));
         assertEquals(id, 1, records.size());
         return records.get(0);
     }
@@ -147,7 +147,7 @@
         assertEquals(List.of(), malformed);
         assertFalse("probes are told", of("probe", f -> f.value("probe", "outcome").equals("ok")).isEmpty());
         assertFalse("and how old the report was that a choice went by", of("attempt", f -> !f.value("attempt", "report_ms").isEmpty()).isEmpty());
-        Found one = request("c3-7");
+        ParsedMessage one = request("c3-7");
         assertEquals("served", one.value("request", "end"));
         assertEquals("chat", one.value("request", "class"));
         assertEquals("7f3a9c21e0b4d655", one.value("request", "key"));
@@ -186,7 +186,7 @@
         try (Caller caller = new Caller(router.address())) {
             assertTrue(caller.send(Caller.prompt("full", "{}")).readTo("\r\n").startsWith("HTTP/1.1 503 "));
         }
-        Found refused = request("full");
+        ParsedMessage refused = request("full");
         assertEquals("refusal", refused.messageId());
         assertEquals("refused", refused.value("request", "end"));
         assertEquals("spent", refused.value("request", "decision"));
@@ -285,10 +285,10 @@
             port = free.getLocalPort();
         }
         Deployment here = keep(new Deployment("127.0.0.1:" + port, 1024, box));
-        Process program = ProgramStories.start(here.environment, List.of(), "serve", "--operator", file.toString());
+        Process program = ProgramIntegrationTest.start(here.environment, List.of(), "serve", "--operator", file.toString());
         try {
             java.net.InetSocketAddress at = new java.net.InetSocketAddress("127.0.0.1", port);
-            ProgramStories.awaitReady(at, program);
+            ProgramIntegrationTest.awaitReady(at, program);
             try (Caller caller = new Caller(at)) {
                 caller.send(Caller.prompt("a1", "{}")).readTo(END);
             }
--- a/router/src/test/java/streamproxy/stories/RouterStories.java
+++ b/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
@@ -18,7 +18,7 @@
 import streamproxy.program.Router;
 
 /** What the router does on sockets, told against scripted peers; one story for each way in which it could fail. */
-public class RouterStories extends Story {
+public class RouterIntegrationTest extends RouterTestBase {
     private static String chunk(String text) { return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n"; }
 
     @Test public void eachEventReachesTheClientUnchangedBeforeTheNextIsMade() throws Exception {
--- a/router/src/test/java/streamproxy/stories/Story.java
+++ b/router/src/test/java/streamproxy/stories/RouterTestBase.java
@@ -9,7 +9,7 @@
 import streamproxy.program.Router;
 
 /** One router over scripted boxes, and what is closed after the story. */
-public abstract class Story {
+public abstract class RouterTestBase {
     static final String ONE = "data: {\"choices\":[{\"delta\":{\"content\":\"oqvh\"}}]}\n\n";
     static final String TWO = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9}}\n\n";
     static final String DONE = "data: [DONE]\n\n";
--- a/router/src/test/java/streamproxy/stories/SettingsStories.java
+++ b/router/src/test/java/streamproxy/stories/SettingsIntegrationTest.java
@@ -9,7 +9,7 @@
 import streamproxy.program.Router;
 
 /** Settings that SIGHUP brings: new classes bind at once, dropped ones are refused, broken files change nothing. */
-public class SettingsStories extends Story {
+public class SettingsIntegrationTest extends RouterTestBase {
     private static final String CHAT = "\"Window\":0}]";
     private static final String AND_CHAT_II = "\"Window\":0},{\"Name\":\"chat-ii\",\"GiveUp\":2000000000,\"Promise\":1000000000,"
             + "\"Gain\":1.0,\"Group\":\"all\",\"Idempotency\":\"safe\",\"Stream\":true,\"Window\":0}]";
--- a/router/src/test/java/streamproxy/stories/StreamStories.java
+++ b/router/src/test/java/streamproxy/stories/StreamIntegrationTest.java
@@ -20,7 +20,7 @@
 import streamproxy.program.Router;
 
 /** Streams whose clients are slow to read, and boxes that fall silent. */
-public class StreamStories {
+public class StreamIntegrationTest {
     private static final String END = "0\r\n\r\n";
     /** More than all socket buffers on the way take. */
     private static final int EVENTS = 2_000;
@@ -47,7 +47,7 @@
 
     private ScriptedBox routerOver(String operator, ScriptedBox.Script script) throws Exception {
         ScriptedBox box = keep(new ScriptedBox(script));
-        router = keep(new Deployment("127.0.0.1:0", 1024, box)).start(RecordsStories.operator(operator));
+        router = keep(new Deployment("127.0.0.1:0", 1024, box)).start(RecordsIntegrationTest.operator(operator));
         return box;
     }
 
