--- a/router/src/test/java/streamproxy/stories/ConnectionIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/ConnectionIntegrationTest.java
@@ -401,6 +401,38 @@
         assertEquals("and each that a box got was answered", 20 + served, box.attempts.size());
     }
 
+    /** Bad input while the router leaves has its usual answers, and keeps it neither from what it has taken nor from leaving. */
+    @Test public void badInputDuringTheShutdownIsAnsweredAndHoldsNothingUp() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        ScriptedBox box = routerOver(1024, 4096, PATIENT, e -> {
+            assertTrue(go.await(30, TimeUnit.SECONDS));
+            SERVES.play(e);
+        });
+        Caller taken = keep(new Caller(router.address())).send(Caller.prompt("taken", "{}"));
+        Caller bytes = keep(new Caller(router.address()));
+        Caller flood = keep(new Caller(router.address()));
+        Caller half = keep(new Caller(router.address())).send(Caller.prompt("half", "{}").substring(0, 40));
+        await("all are held, the box has one", () -> router.clients().held() == 4 && box.attempts.size() == 1);
+        Thread leaves = leaves();
+        await("the grace has begun", () -> !router.lifecycle().ready());
+        for (char c : "NO SUCH REQUEST\r\n".toCharArray()) {
+            bytes.send(String.valueOf(c));
+        }
+        assertStatus("400", bytes.readAll());
+        flood.send("POST /v1/chat/completions HTTP/1.1\r\nX: " + "x".repeat(17 * 1024));
+        assertStatus("431", flood.readAll());
+        new Caller(router.address()).send("POST /v1").close(); // sends and goes at once
+        assertStatus("408", half.readAll()); // not whole in its time
+        go.countDown();
+        String answer = taken.readAll();
+        assertTrue(answer, answer.startsWith("HTTP/1.1 200 ") && answer.endsWith(END));
+        leaves.join(TimeUnit.SECONDS.toMillis(15));
+        assertTrue("it has left", !leaves.isAlive());
+        assertEquals(0, router.clients().held());
+    }
+
+    private static void assertStatus(String status, String answer) { assertTrue(answer, answer.startsWith("HTTP/1.1 " + status + " ")); }
+
     /** Limits change under a crowd that comes back: what is held stays, what comes meets one of the two, none is lost. */
     @Test public void whenAllReconnectWhileTheConfigurationIsReadAnewNoRequestIsLost() throws Exception {
         routerOver(8000, 4096, PATIENT + "clients_most = 2000\nactive_most = 600\naccepts_per_s = 5000\n", SERVES);
--- a/router/src/test/java/streamproxy/stories/ProgramIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/ProgramIntegrationTest.java
@@ -110,6 +110,48 @@
         }
     }
 
+    /** SIGHUP and a second SIGTERM while the program leaves: it goes on leaving, and finishes what it has taken. */
+    @Test public void signalsThatComeDuringTheShutdownCutNothingOff() throws Exception {
+        InetSocketAddress at = freeAddress();
+        CountDownLatch go = new CountDownLatch(1);
+        try (ScriptedBox box = new ScriptedBox(e -> {
+                    e.streamHead();
+                    e.chunk("data: hello\n\n");
+                    assertTrue(go.await(30, TimeUnit.SECONDS));
+                    e.chunk("data: [DONE]\n\n");
+                    e.write("0\r\n\r\n");
+                });
+                Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
+            Process program = start(deployment.environment, "serve");
+            try (Caller caller = caller(at, program)) {
+                caller.send(Caller.prompt("a1", "{}")).readTo("hello\n\n\r\n");
+                BufferedReader log = program.errorReader();
+                signal(program, "TERM");
+                awaitLine(log, "LEAVING after SERVING");
+                hangUp(program);
+                signal(program, "TERM");
+                awaitLine(log, "FINISHING after LEAVING");
+                hangUp(program);
+                signal(program, "TERM");
+                go.countDown();
+                String rest = caller.readTo("0\r\n\r\n");
+                assertTrue(rest, rest.contains("data: [DONE]\n\n"));
+                assertTrue("it ends", program.waitFor(15, TimeUnit.SECONDS));
+                assertEquals(0, program.exitValue());
+            } finally {
+                program.destroyForcibly();
+            }
+        }
+    }
+
+    private static void awaitLine(BufferedReader log, String text) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(text)) {
+            line = log.readLine();
+        }
+        assertTrue("the log ended without: " + text, line != null);
+    }
+
     /** A new process is started beside the running one on the same address, as in an upgrade; it used to exit with 3. */
     @Test public void aSecondProcessOnTheSameAddressServesBesideTheFirst() throws Exception {
         InetSocketAddress at = freeAddress();
@@ -143,8 +185,10 @@
         return new Caller(at);
     }
 
-    private static void hangUp(Process program) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(program.pid())).start().waitFor());
+    private static void hangUp(Process program) throws Exception { signal(program, "HUP"); }
+
+    private static void signal(Process program, String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(program.pid())).start().waitFor());
     }
 
     /** Unhandled, SIGHUP ends a JVM; and each service's versions are its own. */
--- a/router/src/test/java/streamproxy/stories/StreamIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/StreamIntegrationTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.After;
@@ -148,6 +149,35 @@
         await("nothing is held", () -> router.held() == 0);
     }
 
+    /** Where stopped clients hold all that may be held, another's events still come one by one, each before the next is made. */
+    @Test public void aStoppedClientHoldsUpNoOthersEvents() throws Exception {
+        Semaphore next = new Semaphore(0);
+        ScriptedBox box = routerOver("[streams]\nhold_kb = 256\nhold_all_mb = 1\nlag_s = 600\n", e -> {
+            if (!e.head().contains("Req-Id: quick")) {
+                stream(e, new AtomicInteger(), EVENTS);
+                return;
+            }
+            e.streamHead();
+            for (int i = 0; i < 20; i++) {
+                e.chunk("data: " + i + "\n\n");
+                assertTrue(next.tryAcquire(30, TimeUnit.SECONDS));
+            }
+            e.write(END);
+        });
+        for (int i = 0; i < 8; i++) {
+            client("stopped" + i);
+        }
+        await("nobody waits at the box", () -> box.attempts.size() == 8 && router.held() > 1 << 19 && !threadTo(box));
+        try (Caller quick = new Caller(router.address())) {
+            quick.send(Caller.prompt("quick", "{}"));
+            for (int i = 0; i < 20; i++) {
+                quick.readTo("data: " + i + "\n\n\r\n"); // no further event is made before this one has come
+                next.release();
+            }
+            quick.readTo(END);
+        }
+    }
+
     /** One that leaves while its stream waits for it: the box hears of it without anyone having waited there. */
     @Test public void aClientThatLeavesWhileItsStreamWaitsFreesTheBox() throws Exception {
         CountDownLatch freed = new CountDownLatch(1);
