--- a/decision/src/main/java/streamproxy/recovery/KnownBoxes.java
+++ b/decision/src/main/java/streamproxy/recovery/KnownReplicas.java
@@ -12,7 +12,7 @@
  * a box that drains breaks a promise, what is not sent to one that is ready again only waits for the list. That a box is ready
  * is a hint, and believed only as part of a whole list. Versions of one service say nothing of another's.
  */
-public final class KnownBoxes {
+public final class KnownReplicas {
     /** How a box was told of. */
     public enum State { READY, DRAINING, GONE }
 
@@ -38,7 +38,7 @@
      */
     public record Believed(Source list, Set<String> nothing) { }
 
-    private KnownBoxes() { }
+    private KnownReplicas() { }
 
     /**
      * @param configured as the configuration has it, of the service that it names
--- a/decision/src/test/java/streamproxy/recovery/KnownBoxesTest.java
+++ b/decision/src/test/java/streamproxy/recovery/KnownReplicasTest.java
@@ -5,20 +5,20 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import streamproxy.recovery.KnownBoxes.Believed;
-import streamproxy.recovery.KnownBoxes.Source;
-import streamproxy.recovery.KnownBoxes.State;
-import streamproxy.recovery.KnownBoxes.EventText;
+import streamproxy.recovery.KnownReplicas.Believed;
+import streamproxy.recovery.KnownReplicas.Source;
+import streamproxy.recovery.KnownReplicas.State;
+import streamproxy.recovery.KnownReplicas.EventText;
 
 /** Each row of the table, by the harm that believing more, or less, would do. */
-class KnownBoxesTest {
+class KnownReplicasTest {
     private static final EventText CONFIGURED = new EventText("here", 5, true, Map.of("a", State.READY, "b", State.READY));
 
     private static EventText kept(String service, long version, boolean whole) {
         return new EventText(service, version, whole, Map.of("a", State.DRAINING, "b", State.READY, "c", State.READY, "d", State.GONE));
     }
 
-    private static Believed believed(EventText kept) { return KnownBoxes.of(CONFIGURED, kept); }
+    private static Believed believed(EventText kept) { return KnownReplicas.of(CONFIGURED, kept); }
 
     @Test void withNothingKeptTheConfigurationIsAllThereIs() {
         assertEquals(new Believed(Source.CONFIGURED, Set.of()), believed(null));
--- a/fleet/src/main/java/streamproxy/fleet/KeptList.java
+++ b/fleet/src/main/java/streamproxy/fleet/KeptList.java
@@ -24,7 +24,7 @@
 import streamproxy.fleet.wire.KeptRecord;
 import streamproxy.protocol.EndpointEntry;
 import streamproxy.protocol.Json;
-import streamproxy.recovery.KnownBoxes;
+import streamproxy.recovery.KnownReplicas;
 
 /**
  * The box list as it was told, on this router's own disk: what it knew when the power went. Lines are written in the order in
@@ -52,9 +52,9 @@
 
         Known broken() { return new Known(service, version, false, boxes); }
 
-        KnownBoxes.Told told() {
-            return new KnownBoxes.Told(service, version, whole, boxes.values().stream().collect(Collectors.toMap(EndpointEntry::uid,
-                    box -> box.isGone() ? KnownBoxes.State.GONE : box.isReady() ? KnownBoxes.State.READY : KnownBoxes.State.DRAINING)));
+        KnownReplicas.Told told() {
+            return new KnownReplicas.Told(service, version, whole, boxes.values().stream().collect(Collectors.toMap(EndpointEntry::uid,
+                    box -> box.isGone() ? KnownReplicas.State.GONE : box.isReady() ? KnownReplicas.State.READY : KnownReplicas.State.DRAINING)));
         }
 
         /** The same as one line of the service's; boxes that are gone stay named, as drains are believed. */
@@ -125,7 +125,7 @@
 
     /**
      * Opens the file in that folder for this router, which has it alone. A torn end is cut off and told; a damaged file is put
-     * aside and told, and what is left of it believed only as far as {@link KnownBoxes} says. A disk that cannot be written
+     * aside and told, and what is left of it believed only as far as {@link KnownReplicas} says. A disk that cannot be written
      * costs no more than that nothing is kept.
      */
     static KeptList open(Path folder) {
@@ -185,9 +185,9 @@
     }
 
     private synchronized EndpointEntry.News believed(EndpointEntry.News configured, InetSocketAddress service) {
-        KnownBoxes.Told as = new KnownBoxes.Told(text(service), configured.version(), true, Map.of());
-        KnownBoxes.Believed believed = KnownBoxes.of(as, atStart.version < 0 ? null : atStart.told());
-        if (believed.list() == KnownBoxes.Source.KEPT) {
+        KnownReplicas.Told as = new KnownReplicas.Told(text(service), configured.version(), true, Map.of());
+        KnownReplicas.Believed believed = KnownReplicas.of(as, atStart.version < 0 ? null : atStart.told());
+        if (believed.list() == KnownReplicas.Source.KEPT) {
             Logger.info("fleet: begun with the box list kept here, version {}, {} boxes", atStart.version, atStart.boxes.size());
             return new EndpointEntry.News(atStart.version, true, atStart.boxes.values().stream().filter(box -> !box.isGone()).toList());
         }
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -23,7 +23,7 @@
 /**
  * The module's actor, sole caller of {@link Policy}. It keeps the clock, the timers and the table of requests,
  * turns what the peers report into the module's events and carries the module's actions out. It knows no
- * protocol: a second one brings its own {@link Client} and {@link Boxes} and keeps the same rules.
+ * protocol: a second one brings its own {@link Client} and {@link ReplicaDispatcher} and keeps the same rules.
  */
 public final class ModuleActor extends Actor<ModuleActor.Message> implements Routing.Actions {
     /** What the peers tell. */
@@ -83,7 +83,7 @@
     private final Clock clock;
     private final SettingsText.Deployment deployment;
     private Routing.Settings settings;
-    private final Boxes boxes;
+    private final ReplicaDispatcher boxes;
     private final Policy policy;
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<Long, EndpointEntry> known = new HashMap<>(); // as the list told of them last
@@ -100,13 +100,13 @@
     private long numbers;
     private volatile boolean knowsBoxes;
 
-    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes) { this(text, seed, clock, boxes, Records.NONE, null, null); }
+    public ModuleActor(SettingsText text, long seed, Clock clock, ReplicaDispatcher boxes) { this(text, seed, clock, boxes, Records.NONE, null, null); }
 
     /**
      * @param retries what may be sent again for all requests together; null where that is not bounded
      * @param stalls  tells streams of one box that fall silent together; null where each is reported by itself
      */
-    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes, Records records, RetryBudget retries, StallCorrelator stalls) {
+    public ModuleActor(SettingsText text, long seed, Clock clock, ReplicaDispatcher boxes, Records records, RetryBudget retries, StallCorrelator stalls) {
         super("module", MAILBOX);
         this.records = records;
         this.stalls = stalls;
--- a/router/src/main/java/streamproxy/routing/Boxes.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaDispatcher.java
@@ -3,7 +3,7 @@
 import streamproxy.protocol.EndpointEntry;
 
 /** The model boxes as the module's actor reaches them; no call waits for a socket. */
-interface Boxes {
+interface ReplicaDispatcher {
     /** The box list names this box, and whether it may get new work. */
     void told(long id, EndpointEntry box, boolean ready);
 
--- a/router/src/main/java/streamproxy/routing/Replicas.java
+++ b/router/src/main/java/streamproxy/routing/Replicas.java
@@ -13,7 +13,7 @@
 import streamproxy.transport.QuietConnections;
 
 /** The actors of the model boxes that the box list names, over HTTP. */
-public final class Replicas implements Boxes {
+public final class Replicas implements ReplicaDispatcher {
     /**
      * What all model boxes of the program share.
      *
--- a/router/src/test/java/streamproxy/stories/ConnectionIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/ConnectionIntegrationTest.java
@@ -27,7 +27,7 @@
 /** What many connections, idle, mute, gone and back at once, do to those that ask. */
 public class ConnectionIntegrationTest {
     private static final String END = "0\r\n\r\n";
-    private static final ScriptedBox.Script SERVES = e -> e.stream("data: one\n\n", "data: [DONE]\n\n");
+    private static final ScriptedPeer.Script SERVES = e -> e.stream("data: one\n\n", "data: [DONE]\n\n");
     private static final String PATIENT = "client_idle_s = 600\nclient_mute_s = 600\n";
 
     private final List<AutoCloseable> opened = new ArrayList<>();
@@ -57,8 +57,8 @@
         return read;
     }
 
-    private ScriptedBox routerOver(int descriptors, int memoryMb, String connections, ScriptedBox.Script script) throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(script));
+    private ScriptedPeer routerOver(int descriptors, int memoryMb, String connections, ScriptedPeer.Script script) throws Exception {
+        ScriptedPeer box = keep(new ScriptedPeer(script));
         deployment = keep(new Deployment("127.0.0.1:0", descriptors, memoryMb, box));
         router = deployment.start(operator(connections));
         await("ready", () -> {
@@ -121,7 +121,7 @@
     /** As after a restart of a front layer: what was taken is answered, and who comes back is, too. */
     @Test public void whenAllReconnectAtOnceNoRequestThatWasTakenIsLost() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(8000, 4096, PATIENT + "clients_most = 1500\nactive_most = 600\naccepts_per_s = 4000\n", e -> {
+        ScriptedPeer box = routerOver(8000, 4096, PATIENT + "clients_most = 1500\nactive_most = 600\naccepts_per_s = 4000\n", e -> {
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
         });
@@ -176,7 +176,7 @@
 
     @Test public void beyondTheMostActiveARequestIsToldAtOnceWhenToComeBack() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(1024, 4096, PATIENT + "active_most = 3\naccepts_per_s = 10\n", e -> {
+        ScriptedPeer box = routerOver(1024, 4096, PATIENT + "active_most = 3\naccepts_per_s = 10\n", e -> {
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
         });
@@ -263,7 +263,7 @@
 
     /** The system's limit may be lower than the platform says: idle connections go, and who asks is served. */
     @Test public void whereDescriptorsRunOutIdleConnectionsMakeRoom() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(SERVES));
+        ScriptedPeer box = keep(new ScriptedPeer(SERVES));
         int port = freePort();
         Deployment deployment = keep(new Deployment("127.0.0.1:" + port, 2048, 4096, box));
         Process program = startWith200Descriptors(deployment);
@@ -296,8 +296,8 @@
 
     /** Idle clients hold all that they may while the list's service is away: it is found again, and who asks is served. */
     @Test public void whileTheListsServiceIsAwayIdleClientsMayFillTheDescriptors() throws Exception {
-        ScriptedBox drains = keep(new ScriptedBox(SERVES));
-        ScriptedBox stays = keep(new ScriptedBox(SERVES));
+        ScriptedPeer drains = keep(new ScriptedPeer(SERVES));
+        ScriptedPeer stays = keep(new ScriptedPeer(SERVES));
         int port = freePort();
         Deployment deployment = keep(new Deployment("127.0.0.1:" + port, 2048, 4096, drains, stays));
         deployment.list.play(e -> {
@@ -355,7 +355,7 @@
     /** A front layer may restart while the router does: in its grace it serves who comes back, and loses none it took. */
     @Test public void whenAllReconnectDuringTheGraceNoRequestThatWasTakenIsLost() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(4000, 4096, PATIENT + "clients_most = 700\nactive_most = 400\naccepts_per_s = 4000\n", e -> {
+        ScriptedPeer box = routerOver(4000, 4096, PATIENT + "clients_most = 700\nactive_most = 400\naccepts_per_s = 4000\n", e -> {
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
         });
@@ -404,7 +404,7 @@
     /** Bad input while the router leaves has its usual answers, and keeps it neither from what it has taken nor from leaving. */
     @Test public void badInputDuringTheShutdownIsAnsweredAndHoldsNothingUp() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(1024, 4096, PATIENT, e -> {
+        ScriptedPeer box = routerOver(1024, 4096, PATIENT, e -> {
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
         });
@@ -471,7 +471,7 @@
     /** While it leaves, idle ones are let go of at once and those with a request get their answers. */
     @Test public void leavingWithAThousandIdleItFinishesWhatItHasTaken() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(4000, 4096, PATIENT + "clients_most = 1100\n", e -> {
+        ScriptedPeer box = routerOver(4000, 4096, PATIENT + "clients_most = 1100\n", e -> {
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
         });
@@ -493,7 +493,7 @@
     @Test public void connectionsThatABoxClosesWhileTheyRestAreNotUsedAgain() throws Exception {
         AtomicInteger under = new AtomicInteger();
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(2000, 4096, PATIENT, e -> {
+        ScriptedPeer box = routerOver(2000, 4096, PATIENT, e -> {
             under.incrementAndGet();
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
--- a/router/src/test/java/streamproxy/stories/Deployment.java
+++ b/router/src/test/java/streamproxy/stories/Deployment.java
@@ -14,15 +14,15 @@
 final class Deployment implements AutoCloseable {
     /** What the box list says next on its watch; a null line ends the watch. */
     final BlockingQueue<String> news = new LinkedBlockingQueue<>();
-    final ScriptedBox list;
+    final ScriptedPeer list;
     final Map<String, String> environment;
     private final Path config;
     private final String told;
 
-    Deployment(String listen, int sockets, ScriptedBox... boxes) throws IOException { this(listen, sockets, 192, boxes); }
+    Deployment(String listen, int sockets, ScriptedPeer... boxes) throws IOException { this(listen, sockets, 192, boxes); }
 
-    Deployment(String listen, int sockets, int memoryMb, ScriptedBox... boxes) throws IOException {
-        list = new ScriptedBox(this::watch);
+    Deployment(String listen, int sockets, int memoryMb, ScriptedPeer... boxes) throws IOException {
+        list = new ScriptedPeer(this::watch);
         StringBuilder known = new StringBuilder();
         for (int i = 0; i < boxes.length; i++) {
             known.append(i > 0 ? "," : "").append(entry("s-" + i, boxes[i].address(), "ready"));
@@ -35,7 +35,7 @@
                 "NODE_CONFIG", config.toString());
     }
 
-    static Deployment of(ScriptedBox... boxes) throws IOException { return new Deployment("127.0.0.1:0", 1024, boxes); }
+    static Deployment of(ScriptedPeer... boxes) throws IOException { return new Deployment("127.0.0.1:0", 1024, boxes); }
 
     /** Replaces the configuration, whatever it is. */
     void configure(String text) throws IOException { Files.writeString(config, text); }
@@ -72,7 +72,7 @@
         return "{\"rev\":" + version + ",\"all\":" + full + ",\"targets\":[" + entries + "]}";
     }
 
-    private void watch(ScriptedBox.Exchange call) throws IOException, InterruptedException {
+    private void watch(ScriptedPeer.Exchange call) throws IOException, InterruptedException {
         call.streamHead();
         for (String line = news.take(); !line.equals("end"); line = news.take()) {
             call.chunk(line + "\n");
--- a/router/src/test/java/streamproxy/stories/DiscoveryIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/DiscoveryIntegrationTest.java
@@ -30,13 +30,13 @@
         });
     }
 
-    private void moveTo(Deployment deployment, ScriptedBox service) throws IOException {
+    private void moveTo(Deployment deployment, ScriptedPeer service) throws IOException {
         deployment.configureDiscovery(service.address());
         reload(deployment);
     }
 
-    private static ScriptedBox.Exchange next(BlockingQueue<ScriptedBox.Exchange> calls) throws InterruptedException {
-        ScriptedBox.Exchange call = calls.poll(15, TimeUnit.SECONDS);
+    private static ScriptedPeer.Exchange next(BlockingQueue<ScriptedPeer.Exchange> calls) throws InterruptedException {
+        ScriptedPeer.Exchange call = calls.poll(15, TimeUnit.SECONDS);
         assertNotNull("no call", call);
         return call;
     }
@@ -75,12 +75,12 @@
             e.awaitClose();
             firstEnds.countDown();
         });
-        ScriptedBox between = box(e -> {
+        ScriptedPeer between = box(e -> {
             e.awaitClose();
             betweenEnds.countDown();
         });
         CountDownLatch speaks = new CountDownLatch(1);
-        ScriptedBox last = box(e -> {
+        ScriptedPeer last = box(e -> {
             if (e.head().contains("follow=1")) {
                 e.streamHead();
                 e.awaitClose();
@@ -105,7 +105,7 @@
     /** An answer that names no list has failed: taken for one, it would be the last that was ever asked for. */
     @Test public void afterAnEmptyAnswerTheListIsAskedForAgain() throws Exception {
         Deployment deployment = routerOver(box(SERVES));
-        ScriptedBox empty = box(e -> e.answer("200 OK", "", ""));
+        ScriptedPeer empty = box(e -> e.answer("200 OK", "", ""));
         moveTo(deployment, empty);
         for (int i = 0; i < 3; i++) {
             next(empty.attempts);
--- a/router/src/test/java/streamproxy/stories/FleetIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/FleetIntegrationTest.java
@@ -45,16 +45,16 @@
         BlockingQueue<Long> calls = new LinkedBlockingQueue<>();
         AtomicInteger open = new AtomicInteger();
         AtomicInteger mostOpen = new AtomicInteger();
-        List<ScriptedBox.Script> faults = List.of(e -> e.answer("503 Busy", "", ""),
+        List<ScriptedPeer.Script> faults = List.of(e -> e.answer("503 Busy", "", ""),
                 e -> e.socket().setSoLinger(true, 0),
                 e -> e.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"rev\":2"),
                 e -> {
                     e.streamHead();
                     e.chunk("{\"rev\":2,\"targets\":[{\"uid\":\n");
                 });
-        for (ScriptedBox.Script fault : faults) {
-            ScriptedBox box = box(SERVES);
-            ScriptedBox other = box(SERVES);
+        for (ScriptedPeer.Script fault : faults) {
+            ScriptedPeer box = box(SERVES);
+            ScriptedPeer other = box(SERVES);
             Deployment deployment = keep(Deployment.of(box, other));
             calls.clear();
             deployment.list.play(e -> {
@@ -87,7 +87,7 @@
     }
 
     /** Prompts reach that box no more, from soon after now on. */
-    private void assertDrained(ScriptedBox box) throws Exception {
+    private void assertDrained(ScriptedPeer box) throws Exception {
         await("it gets nothing more", () -> {
             int before = box.attempts.size();
             for (int i = 0; i < 60; i++) { // so many that none of four boxes in use is left out by chance
@@ -99,10 +99,10 @@
 
     /** One bad entry used to cost the whole list, and with it each drain that it told. */
     @Test public void whatCannotBeReadInAListCostsNoMoreThanItself() throws Exception {
-        ScriptedBox kept = box(SERVES);
-        ScriptedBox drains = box(SERVES);
-        ScriptedBox strange = box(SERVES);
-        ScriptedBox comes = box(SERVES);
+        ScriptedPeer kept = box(SERVES);
+        ScriptedPeer drains = box(SERVES);
+        ScriptedPeer strange = box(SERVES);
+        ScriptedPeer comes = box(SERVES);
         Deployment deployment = routerOver(kept, drains, strange);
         deployment.news.add(Deployment.told(2, true, "7,{\"state\":\"ready\"},"
                 + Deployment.entry("s-0", "somewhere:80", "ready") + "," + Deployment.entry("s-9", "300.0.0.1:80", "ready") + ","
@@ -122,8 +122,8 @@
 
     /** A service that has lost its versions would tell of nothing but what comes after the lost ones. */
     @Test public void afterAVersionThatGoesBackTheWholeListIsAskedFor() throws Exception {
-        ScriptedBox first = box(SERVES);
-        ScriptedBox second = box(SERVES);
+        ScriptedPeer first = box(SERVES);
+        ScriptedPeer second = box(SERVES);
         Deployment deployment = keep(Deployment.of(first, second));
         BlockingQueue<String> heads = new LinkedBlockingQueue<>();
         deployment.list.play(e -> {
@@ -151,7 +151,7 @@
 
     /** In a fleet the own watch may tell later what another router's watch has told already. */
     @Test public void whatAnotherRoutersWatchToldSoonerIsNoGoingBack() throws Exception {
-        ScriptedBox box = box(SERVES);
+        ScriptedPeer box = box(SERVES);
         Deployment deployment = keep(Deployment.of(box));
         BlockingQueue<String> calls = new LinkedBlockingQueue<>();
         CountDownLatch ahead = new CountDownLatch(1);
@@ -191,7 +191,7 @@
     /** A platform gives the addresses of those that go to those that come, and tells in one list object or in many. */
     @Test public void aBoxAtTheAddressOfOneThatIsGoneGetsNothingThatWasTheOthers() throws Exception {
         for (boolean atOnce : new boolean[] {true, false}) {
-            ScriptedBox[] boxes = new ScriptedBox[5];
+            ScriptedPeer[] boxes = new ScriptedPeer[5];
             for (int i = 0; i < boxes.length; i++) {
                 boxes[i] = box(SERVES);
             }
@@ -215,7 +215,7 @@
                 }
             }
             await("the old ones' connections end", () -> before.stream().allMatch(Socket::isClosed));
-            for (ScriptedBox box : boxes) { // what went out before the news reached the router was the old ones' still
+            for (ScriptedPeer box : boxes) { // what went out before the news reached the router was the old ones' still
                 box.attempts.clear();
             }
             for (int i = 0; boxes[0].attempts.isEmpty() || boxes[1].attempts.isEmpty() || boxes[2].attempts.isEmpty(); i++) {
@@ -228,9 +228,9 @@
 
     /** Held for a whole zone's silence, requests would go down with it. */
     @Test public void requestsToAZoneThatFallsSilentEndInTimeAndTheOthersGetEachOnce() throws Exception {
-        ScriptedBox.Script silent = ScriptedBox.Exchange::awaitClose;
-        ScriptedBox[] gone = {box(silent), box(silent)};
-        ScriptedBox[] left = {box(SERVES), box(SERVES)};
+        ScriptedPeer.Script silent = ScriptedPeer.Exchange::awaitClose;
+        ScriptedPeer[] gone = {box(silent), box(silent)};
+        ScriptedPeer[] left = {box(SERVES), box(SERVES)};
         routerOver(gone[0], left[0], gone[1], left[1]);
         List<Caller> callers = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
--- a/router/src/test/java/streamproxy/stories/LeavingIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/LeavingIntegrationTest.java
@@ -42,7 +42,7 @@
         for (String behind : new String[] {"", next, next + "x".repeat(20_000), "x".repeat(100_000), "x".repeat(1_000_000)}) {
             for (String way : new String[] {"close", "half-close", "reset"}) {
                 CountDownLatch ended = new CountDownLatch(1);
-                ScriptedBox box = box(e -> {
+                ScriptedPeer box = box(e -> {
                     e.awaitClose();
                     ended.countDown();
                 });
@@ -69,7 +69,7 @@
     /** Requests sent ahead are served in their turn; one too large to be kept meanwhile is left for the client to repeat. */
     @Test public void whatCameBehindARequestIsServedOrLeftForTheClientToRepeat() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = box(e -> {
+        ScriptedPeer box = box(e -> {
             assertTrue(go.await(10, TimeUnit.SECONDS));
             SERVES.play(e);
         });
@@ -89,7 +89,7 @@
 
     /** A close at once over bytes that nobody read resets the connection, and the client may lose the answer's end. */
     @Test public void anAnswerThatClosesReachesItsClientWholeWhateverComesMeanwhile() throws Exception {
-        ScriptedBox box = box(SERVES);
+        ScriptedPeer box = box(SERVES);
         routerOver(box);
         for (int i = 0; i < 10; i++) {
             Socket client = client();
@@ -117,7 +117,7 @@
     /** A client that was not told of the close may be writing its next request as its stream ends: it is served, and told then. */
     @Test public void aRequestWrittenAsAStreamEndsIsServedThoughTheRouterBeganToLeaveMeanwhile() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = box(e -> {
+        ScriptedPeer box = box(e -> {
             e.streamHead();
             e.chunk(ONE);
             assertTrue(go.await(10, TimeUnit.SECONDS));
@@ -137,7 +137,7 @@
 
     /** A request that crosses the router's closing word is left for its client to repeat: never sent on and lost. */
     @Test public void aRequestBehindAClosingAnswerIsNotSentOnAndTheClientSeesTheEnd() throws Exception {
-        ScriptedBox box = box(SERVES);
+        ScriptedPeer box = box(SERVES);
         routerOver(box);
         router.lifecycle().quiesce(true); // each answer closes its connection, as after SIGTERM
         for (int i = 0; i < 10; i++) {
--- a/router/src/test/java/streamproxy/stories/OperatorIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/OperatorIntegrationTest.java
@@ -10,7 +10,7 @@
 
 /** What operators call where they are listened to, and what that does to clients. */
 public class OperatorIntegrationTest extends RouterTestBase {
-    private Deployment withOperator(ScriptedBox... boxes) throws Exception {
+    private Deployment withOperator(ScriptedPeer... boxes) throws Exception {
         Deployment deployment = keep(Deployment.of(boxes));
         deployment.configureOperator("127.0.0.1:0");
         return routerIn(deployment);
--- a/router/src/test/java/streamproxy/stories/ProgramIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/ProgramIntegrationTest.java
@@ -92,7 +92,7 @@
 
     @Test public void itServesAndOnSigtermLeavesWithZero() throws Exception {
         InetSocketAddress at = freeAddress();
-        try (ScriptedBox box = new ScriptedBox(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
+        try (ScriptedPeer box = new ScriptedPeer(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
                 Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
             Process program = start(deployment.environment, "serve");
             try {
@@ -114,7 +114,7 @@
     @Test public void signalsThatComeDuringTheShutdownCutNothingOff() throws Exception {
         InetSocketAddress at = freeAddress();
         CountDownLatch go = new CountDownLatch(1);
-        try (ScriptedBox box = new ScriptedBox(e -> {
+        try (ScriptedPeer box = new ScriptedPeer(e -> {
                     e.streamHead();
                     e.chunk("data: hello\n\n");
                     assertTrue(go.await(30, TimeUnit.SECONDS));
@@ -155,7 +155,7 @@
     /** A new process is started beside the running one on the same address, as in an upgrade; it used to exit with 3. */
     @Test public void aSecondProcessOnTheSameAddressServesBesideTheFirst() throws Exception {
         InetSocketAddress at = freeAddress();
-        try (ScriptedBox box = new ScriptedBox(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
+        try (ScriptedPeer box = new ScriptedPeer(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
                 Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
             Process old = start(deployment.environment, "serve");
             Process next = null;
@@ -195,14 +195,14 @@
     @Test public void onSighupItMovesToTheBoxListThatItsFileNamesAndKeepsTheOldOneForABadFile() throws Exception {
         InetSocketAddress at = freeAddress();
         CountDownLatch go = new CountDownLatch(1);
-        try (ScriptedBox box = new ScriptedBox(e -> {
+        try (ScriptedPeer box = new ScriptedPeer(e -> {
                     e.streamHead();
                     e.chunk("data: hello\n\n");
                     assertTrue(go.await(10, TimeUnit.SECONDS));
                     e.write("0\r\n\r\n");
                 });
-                ScriptedBox newcomer = new ScriptedBox(e -> e.stream("data: new\n\n"));
-                ScriptedBox list = new ScriptedBox(e -> {
+                ScriptedPeer newcomer = new ScriptedPeer(e -> e.stream("data: new\n\n"));
+                ScriptedPeer list = new ScriptedPeer(e -> {
                     if (e.head().contains("follow=1")) {
                         e.streamHead();
                     } else {
@@ -244,7 +244,7 @@
 
     /** With more connections than threads fit in, the router would be killed for its memory. */
     @Test public void limitsThatLeaveNoRoomAreSaidAtTheStart() throws Exception {
-        try (ScriptedBox box = new ScriptedBox(e -> { });
+        try (ScriptedPeer box = new ScriptedPeer(e -> { });
                 Deployment deployment = new Deployment("127.0.0.1:0", 40, box)) {
             Process program = start(deployment.environment, "serve");
             String said = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
@@ -270,13 +270,13 @@
     /** Ten of 14 routers that are killed and come back at once must not come down on the boxes. */
     @Test public void killedAndStartedAgainUnderLoadItServesAndProbesAndConnectsNoMoreThanItIsAsked() throws Exception {
         InetSocketAddress at = freeAddress();
-        ScriptedBox[] boxes = new ScriptedBox[12];
+        ScriptedPeer[] boxes = new ScriptedPeer[12];
         for (int i = 0; i < boxes.length; i++) {
-            boxes[i] = new ScriptedBox(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
+            boxes[i] = new ScriptedPeer(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
         }
         try (Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, boxes)) {
             for (int life = 0; life < 2; life++) {
-                for (ScriptedBox box : boxes) {
+                for (ScriptedPeer box : boxes) {
                     box.connections.set(0);
                     box.probes.set(0);
                 }
@@ -293,7 +293,7 @@
                     }
                     int probes = 0;
                     int connections = 0;
-                    for (ScriptedBox box : boxes) {
+                    for (ScriptedPeer box : boxes) {
                         probes += box.probes.get();
                         connections += box.connections.get();
                     }
@@ -304,14 +304,14 @@
                 }
             }
         } finally {
-            for (ScriptedBox box : boxes) {
+            for (ScriptedPeer box : boxes) {
                 box.close();
             }
         }
     }
 
     @Test public void withoutItsConfigurationItSaysWhyInOneLineAndFails() throws Exception {
-        try (ScriptedBox box = new ScriptedBox(e -> { });
+        try (ScriptedPeer box = new ScriptedPeer(e -> { });
                 Deployment deployment = Deployment.of(box)) {
             Map<String, String> broken = new HashMap<>(deployment.environment);
             broken.put("NODE_LISTEN", "here");
@@ -341,7 +341,7 @@
 
     @Test public void anOperatorsFileThatCannotBeUsedIsSaidInOneLineWithItsPlace() throws Exception {
         Path file = operator("[connections]\nclients_most = 100\nactive_most = 101\n");
-        try (ScriptedBox box = new ScriptedBox(e -> { }); Deployment deployment = Deployment.of(box)) {
+        try (ScriptedPeer box = new ScriptedPeer(e -> { }); Deployment deployment = Deployment.of(box)) {
             String line = "streamproxy: " + file + ": line 3: [connections] active_most: active_most is over clients_most, which is 100\n";
             assertEquals(line, said(start(deployment.environment, "serve", "--operator", file.toString()), 3));
             assertEquals(line, said(start(Map.of(), "config", "check", "--operator", file.toString()), 3));
@@ -360,7 +360,7 @@
     @Test public void onSighupTheOperatorsFileIsReadAgainAndABadOneChangesNothing() throws Exception {
         InetSocketAddress at = freeAddress();
         Path file = operator("[connections]\nclient_idle_s = 600\nclient_mute_s = 600\n");
-        try (ScriptedBox box = new ScriptedBox(e -> e.stream("data: hello\n\n"));
+        try (ScriptedPeer box = new ScriptedPeer(e -> e.stream("data: hello\n\n"));
                 Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
             deployment.configureDiscovery(deployment.list.address());
             Process program = start(deployment.environment, "serve", "--operator", file.toString());
--- a/router/src/test/java/streamproxy/stories/RecordsIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/RecordsIntegrationTest.java
@@ -34,7 +34,7 @@
 /** Every answer, refusal and drain of a router is one record at its collector. */
 public class RecordsIntegrationTest {
     private static final String END = "0\r\n\r\n";
-    private static final ScriptedBox.Script SERVES = e -> e.stream("data: one\n\n", "data: two\n\n", "data: [DONE]\n\n");
+    private static final ScriptedPeer.Script SERVES = e -> e.stream("data: one\n\n", "data: two\n\n", "data: [DONE]\n\n");
 
     private final List<AutoCloseable> opened = new ArrayList<>();
     private final List<ParsedMessage> found = new CopyOnWriteArrayList<>();
@@ -97,7 +97,7 @@
         return read;
     }
 
-    private void routerWith(String more, ScriptedBox... boxes) throws Exception {
+    private void routerWith(String more, ScriptedPeer... boxes) throws Exception {
         deployment = keep(new Deployment("127.0.0.1:0", 1024, boxes));
         router = deployment.start(operator("[connections]\nactive_most = 50\n[syslog]\nhost = router-1\n" + more
                 + "[syslog collector main]\naddress = 127.0.0.1:" + collector() + "\ntransport = tcp\n"));
@@ -116,7 +116,7 @@
     }
 
     @Test public void everyRequestOfALoadHasJustOneRecord() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(SERVES));
+        ScriptedPeer box = keep(new ScriptedPeer(SERVES));
         routerWith("", box);
         List<Thread> clients = new ArrayList<>();
         Map<String, String> told = new java.util.concurrent.ConcurrentHashMap<>();
@@ -160,7 +160,7 @@
     }
 
     @Test public void whatGoesWrongIsToldWithItsAttempts() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(e -> {
+        ScriptedPeer box = keep(new ScriptedPeer(e -> {
             if (e.head().contains("Req-Id: broken")) {
                 e.streamHead();
                 e.chunk("data: one\n\n");
@@ -197,8 +197,8 @@
     }
 
     @Test public void drainsReloadsAndThePhasesAreToldAndNothingIsLostAtTheEnd() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(SERVES));
-        ScriptedBox other = keep(new ScriptedBox(SERVES));
+        ScriptedPeer box = keep(new ScriptedPeer(SERVES));
+        ScriptedPeer other = keep(new ScriptedPeer(SERVES));
         routerWith("", box, other);
         await("both are ready", () -> of("box", f -> f.value("box", "state").equals("ready")).size() == 2);
         deployment.news.add(Deployment.told(2, false, Deployment.entry("s-1", other.address(), "draining")));
@@ -224,7 +224,7 @@
 
     /** Six streams that fall silent at once are one fault of their box: told six times it would be left out for minutes. */
     @Test public void aBoxWhoseStreamsStallTogetherIsToldOfOnce() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(e -> {
+        ScriptedPeer box = keep(new ScriptedPeer(e -> {
             e.streamHead();
             for (int i = 0; i < 40; i++) {
                 e.chunk("data: " + i + "\n\n");
@@ -249,7 +249,7 @@
 
     /** What is refused is refused whole: a bad collector must not let the limits beside it take effect. */
     @Test public void aReloadWithABadCollectorChangesNothing() throws Exception {
-        routerWith("", keep(new ScriptedBox(SERVES)));
+        routerWith("", keep(new ScriptedPeer(SERVES)));
         OperatorFile bad = operator("[connections]\nclients_most = 1\n[syslog collector x]\naddress = nowhere\n");
         router.reload(new Router.Reload() {
             @Override public NodeConfig.Again node() {
@@ -268,7 +268,7 @@
 
     /** The platform names no operator's file: there nothing of all this may run. */
     @Test public void withoutAnOperatorNothingIsRecorded() throws Exception {
-        deployment = keep(new Deployment("127.0.0.1:0", 1024, keep(new ScriptedBox(SERVES))));
+        deployment = keep(new Deployment("127.0.0.1:0", 1024, keep(new ScriptedPeer(SERVES))));
         Set<Thread> before = Thread.getAllStackTraces().keySet();
         router = deployment.start();
         assertNull(router.records());
@@ -277,7 +277,7 @@
     }
 
     @Test public void asJsonLinesTheyStandOnStandardError() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(SERVES));
+        ScriptedPeer box = keep(new ScriptedPeer(SERVES));
         Path file = Files.createTempFile("operator", ".ini");
         Files.writeString(file, "[syslog]\njson = yes\n");
         int port;
--- a/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
@@ -23,7 +23,7 @@
 
     @Test public void eachEventReachesTheClientUnchangedBeforeTheNextIsMade() throws Exception {
         CountDownLatch firstRead = new CountDownLatch(1);
-        ScriptedBox box = box(e -> {
+        ScriptedPeer box = box(e -> {
             e.streamHead();
             e.chunk(ONE);
             assertTrue(firstRead.await(10, TimeUnit.SECONDS));
@@ -37,14 +37,14 @@
         assertTrue(first, first.startsWith("HTTP/1.1 200 "));
         firstRead.countDown();
         assertEquals(chunk(TWO) + chunk(DONE) + "0\r\n\r\n", caller.readTo("0\r\n\r\n"));
-        ScriptedBox.Exchange passed = box.attempts.take();
+        ScriptedPeer.Exchange passed = box.attempts.take();
         assertTrue(passed.head(), passed.head().startsWith("POST /v1/chat/completions HTTP/1.1\r\n"));
         assertTrue(passed.head(), passed.head().contains("\r\nReq-Id: a1\r\n"));
         assertEquals("{\"model\":\"chat\"}", passed.body());
     }
 
     @Test public void connectionsAreUsedAgainAndOneClosedWhileIdleIsNot() throws Exception {
-        ScriptedBox box = box(SERVES);
+        ScriptedPeer box = box(SERVES);
         routerOver(box);
         Caller caller = caller();
         for (int i = 0; i < 5; i++) {
@@ -59,8 +59,8 @@
     }
 
     @Test public void aDeclinedAttemptGoesToAnotherBox() throws Exception {
-        ScriptedBox full = box(e -> e.answer("503 Busy", "Srv-Declined: 1\r\n", "full"));
-        ScriptedBox other = box(SERVES);
+        ScriptedPeer full = box(e -> e.answer("503 Busy", "Srv-Declined: 1\r\n", "full"));
+        ScriptedPeer other = box(SERVES);
         routerOver(full, other);
         for (int i = 0; full.attempts.isEmpty(); i++) {
             assertTrue("the full box was never tried", i < 200);
@@ -70,7 +70,7 @@
     }
 
     @Test public void withNoBoxReachableTheClientIsRefusedAtOnceAndToldWhenToComeBack() throws Exception {
-        ScriptedBox dead = box(SERVES);
+        ScriptedPeer dead = box(SERVES);
         dead.close();
         routerOver(dead);
         long from = System.nanoTime();
@@ -117,7 +117,7 @@
 
     @Test public void aClientThatLeavesEndsItsAttempt() throws Exception {
         CountDownLatch ended = new CountDownLatch(1);
-        ScriptedBox box = box(e -> {
+        ScriptedPeer box = box(e -> {
             e.awaitClose();
             ended.countDown();
         });
@@ -129,7 +129,7 @@
     }
 
     @Test public void whatCannotBeServedGetsItsAnswerAndNoAttempt() throws Exception {
-        ScriptedBox box = box(SERVES);
+        ScriptedPeer box = box(SERVES);
         routerOver(box);
         String good = Caller.prompt("a1", "{}");
         String[][] bad = {
@@ -163,16 +163,16 @@
     }
 
     @Test public void aBoxToldDrainingGetsNothingMoreAndALostWatchIsAskedForAgain() throws Exception {
-        ScriptedBox first = box(SERVES);
-        ScriptedBox second = box(SERVES);
+        ScriptedPeer first = box(SERVES);
+        ScriptedPeer second = box(SERVES);
         Deployment deployment = routerOver(first, second);
         deployment.news.add("");
         deployment.news.add("end");
         assertNotNull("the first watch", deployment.list.attempts.poll(15, TimeUnit.SECONDS));
-        ScriptedBox.Exchange again = deployment.list.attempts.poll(15, TimeUnit.SECONDS);
+        ScriptedPeer.Exchange again = deployment.list.attempts.poll(15, TimeUnit.SECONDS);
         assertNotNull("the second watch", again);
         assertTrue(again.head(), again.head().startsWith("GET /v1/endpoints?follow=1&since=1 "));
-        ScriptedBox third = box(SERVES);
+        ScriptedPeer third = box(SERVES);
         deployment.news.add(Deployment.told(2, false, Deployment.entry("s-0", first.address(), "draining") + ","
                 + Deployment.entry("s-1", second.address(), "gone") + "," + Deployment.entry("s-2", third.address(), "ready")));
         for (int i = 0; third.attempts.isEmpty(); i++) { // told as soon as the newcomer gets work
@@ -204,7 +204,7 @@
 
     @Test public void leavingFinishesWhatWasTakenAndTakesWhatStillComes() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = box(e -> {
+        ScriptedPeer box = box(e -> {
             assertTrue(go.await(10, TimeUnit.SECONDS));
             e.stream(ONE, DONE);
         });
@@ -238,7 +238,7 @@
 
     /** Some clients ask once and keep their connection for good, others connect and say nothing. */
     @Test public void connectionsWithoutARequestAreClosedAndTheLongestIdleFirstWherePlacesAreShort() throws Exception {
-        ScriptedBox box = box(SERVES);
+        ScriptedPeer box = box(SERVES);
         routerIn(keep(new Deployment("127.0.0.1:0", 160, box)));
         List<Caller> crowd = new ArrayList<>();
         for (int i = 0; i < 160; i++) {
@@ -273,7 +273,7 @@
 
     /** Head and body have one limit together; each byte in time must not hold a place for ever. */
     @Test public void aRequestThatTricklesOrStaysShortIsAnsweredWithin3Seconds() throws Exception {
-        ScriptedBox box = box(SERVES);
+        ScriptedPeer box = box(SERVES);
         routerOver(box);
         long from = System.nanoTime();
         Caller shortBody = caller().send(Caller.prompt("a1", "{}").replace("Content-Length: 2", "Content-Length: 20"));
@@ -301,7 +301,7 @@
     /** An open request's id on another connection would reach a box as a second copy. */
     @Test public void anIdThatIsTakenIsAConflict() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = box(e -> {
+        ScriptedPeer box = box(e -> {
             assertTrue(go.await(10, TimeUnit.SECONDS));
             e.stream(ONE, DONE);
         });
@@ -343,7 +343,7 @@
             HEAD + "\r\nwhat?\r\n", HEAD + "\r\nC0000000\r\nxxxx", HEAD + "\r\n3\r\nxxxxxxx"};
         for (int i = 0; i < spoilt.length; i++) {
             String text = spoilt[i];
-            ScriptedBox bad = box(e -> {
+            ScriptedPeer bad = box(e -> {
                 e.write(text);
                 e.awaitClose();
             });
@@ -377,7 +377,7 @@
 
     /** 1xx answers ahead and bytes behind do a good stream no harm; the connection that has them is not used again. */
     @Test public void aGoodStreamWithMoreThanBelongsToItIsServed() throws Exception {
-        ScriptedBox box = box(e -> {
+        ScriptedPeer box = box(e -> {
             e.write("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n");
             e.streamHead();
             e.chunk(ONE);
@@ -394,7 +394,7 @@
 
     /** A body that a box cannot use says nothing about the box: without it a few bad clients shut the boxes out. */
     @Test public void aBoxThatTurnsARequestDownAsWrongStaysInUse() throws Exception {
-        ScriptedBox.Script picky = e -> {
+        ScriptedPeer.Script picky = e -> {
             if (e.body().contains("bad")) {
                 e.answer("400 Bad Request", "", "");
             } else {
--- a/router/src/test/java/streamproxy/stories/RouterTestBase.java
+++ b/router/src/test/java/streamproxy/stories/RouterTestBase.java
@@ -13,7 +13,7 @@
     static final String ONE = "data: {\"choices\":[{\"delta\":{\"content\":\"oqvh\"}}]}\n\n";
     static final String TWO = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9}}\n\n";
     static final String DONE = "data: [DONE]\n\n";
-    static final ScriptedBox.Script SERVES = e -> e.stream(ONE, TWO, DONE);
+    static final ScriptedPeer.Script SERVES = e -> e.stream(ONE, TWO, DONE);
 
     private final List<AutoCloseable> opened = new ArrayList<>();
     Router router;
@@ -32,9 +32,9 @@
         return it;
     }
 
-    final ScriptedBox box(ScriptedBox.Script script) throws IOException { return keep(new ScriptedBox(script)); }
+    final ScriptedPeer box(ScriptedPeer.Script script) throws IOException { return keep(new ScriptedPeer(script)); }
 
-    final Deployment routerOver(ScriptedBox... boxes) throws Exception { return routerIn(keep(Deployment.of(boxes))); }
+    final Deployment routerOver(ScriptedPeer... boxes) throws Exception { return routerIn(keep(Deployment.of(boxes))); }
 
     final Deployment routerIn(Deployment deployment) throws Exception {
         router = deployment.start();
--- a/router/src/test/java/streamproxy/stories/ScriptedBox.java
+++ b/router/src/test/java/streamproxy/stories/ScriptedPeer.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A model box, or any HTTP peer, that does with each request what the story says. */
-final class ScriptedBox implements AutoCloseable {
+final class ScriptedPeer implements AutoCloseable {
     /** What the story does with a request whose head and body have come in. */
     interface Script {
         void play(Exchange exchange) throws IOException, InterruptedException;
@@ -65,7 +65,7 @@
     final BlockingQueue<Exchange> attempts = new LinkedBlockingQueue<>();
     private volatile Script script;
 
-    ScriptedBox(Script script) throws IOException {
+    ScriptedPeer(Script script) throws IOException {
         this.script = script;
         Thread accepts = new Thread(this::accept, "scripted box");
         accepts.setDaemon(true);
--- a/router/src/test/java/streamproxy/stories/StreamIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/StreamIntegrationTest.java
@@ -46,8 +46,8 @@
         return it;
     }
 
-    private ScriptedBox routerOver(String operator, ScriptedBox.Script script) throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(script));
+    private ScriptedPeer routerOver(String operator, ScriptedPeer.Script script) throws Exception {
+        ScriptedPeer box = keep(new ScriptedPeer(script));
         router = keep(new Deployment("127.0.0.1:0", 1024, box)).start(RecordsIntegrationTest.operator(operator));
         return box;
     }
@@ -62,7 +62,7 @@
         return socket;
     }
 
-    private static boolean threadTo(ScriptedBox box) {
+    private static boolean threadTo(ScriptedPeer box) {
         String port = box.address().substring(box.address().lastIndexOf(':'));
         return Thread.getAllStackTraces().keySet().stream().anyMatch(t -> t.getName().startsWith("to ") && t.getName().endsWith(port));
     }
@@ -90,7 +90,7 @@
         }
     }
 
-    private static void stream(ScriptedBox.Exchange e, AtomicInteger written, int events) throws IOException {
+    private static void stream(ScriptedPeer.Exchange e, AtomicInteger written, int events) throws IOException {
         e.streamHead();
         for (int i = 0; i < events; i++) {
             e.chunk("data: " + i + " " + FILLING + "\n\n");
@@ -102,7 +102,7 @@
     /** What it has not read is held up to a bound, the rest stays with the box; and nobody waits at the box meanwhile. */
     @Test public void aSlowClientHoldsABoundedPartOfItsStreamAndNoSecondThread() throws Exception {
         AtomicInteger written = new AtomicInteger();
-        ScriptedBox box = routerOver("[streams]\nhold_kb = 64\nlag_s = 600\n", e -> stream(e, written, EVENTS));
+        ScriptedPeer box = routerOver("[streams]\nhold_kb = 64\nlag_s = 600\n", e -> stream(e, written, EVENTS));
         Socket client = client("a1");
         await("the answer has begun", () -> written.get() > 10);
         await("nobody waits at the box", () -> router.held() > PAUSED && !threadTo(box));
@@ -136,7 +136,7 @@
     }
 
     @Test public void allSlowClientsTogetherHoldNoMoreThanTheyMay() throws Exception {
-        ScriptedBox box = routerOver("[streams]\nhold_kb = 256\nhold_all_mb = 1\nlag_s = 600\n", e -> stream(e, new AtomicInteger(), FEW));
+        ScriptedPeer box = routerOver("[streams]\nhold_kb = 256\nhold_all_mb = 1\nlag_s = 600\n", e -> stream(e, new AtomicInteger(), FEW));
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
             clients.add(client("a" + i));
@@ -152,7 +152,7 @@
     /** Where stopped clients hold all that may be held, another's events still come one by one, each before the next is made. */
     @Test public void aStoppedClientHoldsUpNoOthersEvents() throws Exception {
         Semaphore next = new Semaphore(0);
-        ScriptedBox box = routerOver("[streams]\nhold_kb = 256\nhold_all_mb = 1\nlag_s = 600\n", e -> {
+        ScriptedPeer box = routerOver("[streams]\nhold_kb = 256\nhold_all_mb = 1\nlag_s = 600\n", e -> {
             if (!e.head().contains("Req-Id: quick")) {
                 stream(e, new AtomicInteger(), EVENTS);
                 return;
@@ -182,7 +182,7 @@
     @Test public void aClientThatLeavesWhileItsStreamWaitsFreesTheBox() throws Exception {
         CountDownLatch freed = new CountDownLatch(1);
         AtomicInteger written = new AtomicInteger();
-        ScriptedBox box = routerOver("[streams]\nhold_kb = 64\nlag_s = 600\n", e -> {
+        ScriptedPeer box = routerOver("[streams]\nhold_kb = 64\nlag_s = 600\n", e -> {
             try {
                 stream(e, written, EVENTS);
             } catch (IOException closed) {
