--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -59,8 +59,9 @@
     private static final double WEIGHT_MOST = 10;
     private static final double COLD_IN_TIME = 0.7; // the share of its time in which a prompt must be begun
     /** At most: from the end of an answered watch to the next call, and between calls without an answer. */
-    public static final long ASK_FIRST = 200 * MS;
-    public static final long ASK_AGAIN = 2_200 * MS;
+    public static final long ASK_FIRST = 300 * MS;
+    public static final long ASK_AGAIN = 2_500 * MS;
+    public static final long ASK_SOON = 2_200 * MS; // the first time behind a watch that was answered
     /**
      * The first calls of all gateways, in the mean: together no more than a service does that answers
      * 17 a second, as a call that fails binds sooner than none. All come in half of askEvery.
@@ -178,6 +179,7 @@
     private boolean watching;
     private long askAt;
     private long askedAt;
+    private long askAgain = ASK_AGAIN;
     private boolean heard;           // something came since then
 
     public Policy(Settings settings, long seed, long now, Actions actions) {
@@ -253,7 +255,8 @@
             // A broken subscription tells nothing more; unasked for too long, old news counts as told.
             watching = false;
             askAt = heard ? now + ASK_FIRST / 2 + random.nextLong(ASK_FIRST / 2)
-                    : askedAt + ASK_AGAIN * 3 / 4 + random.nextLong(ASK_AGAIN / 4);
+                    : askedAt + askAgain * 3 / 4 + random.nextLong(askAgain / 4);
+            askAgain = heard ? ASK_SOON : ASK_AGAIN;
             heard = false;
             return;
         }
--- a/decision/src/test/java/streamproxy/recovery/KnownReplicasTest.java
+++ b/decision/src/test/java/streamproxy/recovery/KnownReplicasTest.java
@@ -8,17 +8,17 @@
 import streamproxy.recovery.KnownReplicas.Believed;
 import streamproxy.recovery.KnownReplicas.Source;
 import streamproxy.recovery.KnownReplicas.State;
-import streamproxy.recovery.KnownReplicas.EventText;
+import streamproxy.recovery.KnownReplicas.Told;
 
 /** Each row of the table, by the harm that believing more, or less, would do. */
 class KnownReplicasTest {
-    private static final EventText CONFIGURED = new EventText("here", 5, true, Map.of("a", State.READY, "b", State.READY));
+    private static final Told CONFIGURED = new Told("here", 5, true, Map.of("a", State.READY, "b", State.READY));
 
-    private static EventText kept(String service, long version, boolean whole) {
-        return new EventText(service, version, whole, Map.of("a", State.DRAINING, "b", State.READY, "c", State.READY, "d", State.GONE));
+    private static Told kept(String service, long version, boolean whole) {
+        return new Told(service, version, whole, Map.of("a", State.DRAINING, "b", State.READY, "c", State.READY, "d", State.GONE));
     }
 
-    private static Believed believed(EventText kept) { return KnownReplicas.of(CONFIGURED, kept); }
+    private static Believed believed(Told kept) { return KnownReplicas.of(CONFIGURED, kept); }
 
     @Test void withNothingKeptTheConfigurationIsAllThereIs() {
         assertEquals(new Believed(Source.CONFIGURED, Set.of()), believed(null));
--- a/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
+++ b/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
@@ -51,8 +51,9 @@
      * What the list's service has to tell counts as told 6 s after it could be asked, or after a watch fell silent. The parts
      * of the longest ways to an answer stay within that, with the pauses between calls: a call under way as the service comes
      * back and hangs (2.5), and 3.5 for the next one's answer; one that failed just before (2.5 to the next, Policy.ASK_AGAIN),
-     * the next one hanging (2.5), and 1 for the answer; or silence noticed (3), the first pause (0.4), and 2.6 for the answer.
-     * A watch carries at least an empty line every 2 s, so 3 s are one line that is a second late.
+     * the next one hanging (2.5), and 1 for the answer; or silence noticed (3), the first pause (0.3), a call that hangs
+     * (2.2, ANSWER_SOON), and 0.25 for the next one's answer. A watch carries at least an empty line every 2 s, so 3 s are one
+     * line that is a second late.
      */
     static final long SILENCE = 3_000_000_000L;
     /**
@@ -60,7 +61,12 @@
      * those who waited for 2 s. It works on what was given up all the same: a hundred routers that gave up after 1.5 s, and asked
      * again within as long, had no answer between them for as long as they asked, since all that was answered had been given up.
      */
-    static final long ANSWER = 2_200_000_000L;
+    static final long ANSWER = 2_500_000_000L;
+    /**
+     * The same for the first call behind a watch that brought something: the watch's silence has taken half of the time. With
+     * this for all calls a service short of time told fewer (drain on herd+mass, 6 times).
+     */
+    static final long ANSWER_SOON = 2_200_000_000L;
     /** The longest line of a watch; with tens of bytes for each replica, that is far more than any fleet has. */
     private static final int LONGEST_LINE = 1 << 20;
 
@@ -77,6 +83,7 @@
     /** After a move: the watch that the old service still answers. */
     private Call former;
     private final SharedList shared;
+    private boolean soon; // the last watch brought something, and no call has failed since
     private boolean own;    // else another router's watch is followed
     private boolean wanted; // the module has asked for a watch
     private boolean byAnother; // the last version came by another router's watch
@@ -265,6 +272,7 @@
         former = call == former ? null : former; // it was to end anyway
         if (call == watch || !call.watching && call.at.equals(discovery)) {
             watch = call == watch ? null : watch;
+            soon = call.watching && call.alive;
             shared.failed();
             module.listNews(ListForm.FAILED, List.of(), List.of());
         }
@@ -280,6 +288,8 @@
         private final String target;
         private final boolean watching;
         private final long since; // the version that it was begun with; -1 for none
+        private final long answerNs;
+        private volatile boolean alive; // it has brought something, if only an empty line
         private volatile Connection connection;
         private volatile boolean closed;
 
@@ -288,6 +298,7 @@
             this.target = target;
             this.watching = watching;
             since = version.orElse(-1);
+            answerNs = soon ? ANSWER_SOON : ANSWER;
         }
 
         void close() {
@@ -320,8 +331,8 @@
         }
 
         private void exchange(Connection open) throws IOException {
-            long by = System.nanoTime() + ANSWER;
-            open.connect(at, ANSWER);
+            long by = System.nanoTime() + answerNs;
+            open.connect(at, answerNs);
             new HttpWriter(open).get(target, at.getHostString() + ":" + at.getPort());
             HttpReader reader = new HttpReader(open);
             HttpHead head = reader.answer(Math.max(1, by - System.nanoTime()));
@@ -348,6 +359,7 @@
         }
 
         private void heard(String line) {
+            alive = true;
             if (watching) {
                 shared.alive();
             }
--- a/router/src/test/java/streamproxy/routing/ServiceDiscoveryTest.java
+++ b/router/src/test/java/streamproxy/routing/ServiceDiscoveryTest.java
@@ -28,12 +28,15 @@
     /** The call that hangs is given up, and the next one made, in the time that silence and the pause behind it leave. */
     @Test void aCallThatHangsBehindAWatchThatFellSilentIsFollowedInTime() {
         long falls = ServiceDiscovery.SILENCE + Policy.ASK_FIRST + TICK;
-        long fallsAndHangs = falls + Math.max(ServiceDiscovery.ANSWER, Policy.ASK_AGAIN) + TICK;
+        long fallsAndHangs = falls + Math.max(ServiceDiscovery.ANSWER_SOON, Policy.ASK_SOON) + TICK;
         assertTrue(fallsAndHangs < TOLD, "left for the answer: " + (TOLD - fallsAndHangs) / MS);
     }
 
     /** What is given up is worked on all the same: a service whose callers all give up before it answers answers none. */
-    @Test void aCallIsNotGivenUpBeforeTheServiceWould() { assertTrue(ServiceDiscovery.ANSWER > SERVICE_GIVES_UP); }
+    @Test void aCallIsNotGivenUpBeforeTheServiceWould() {
+        assertTrue(ServiceDiscovery.ANSWER > SERVICE_GIVES_UP);
+        assertTrue(ServiceDiscovery.ANSWER_SOON > SERVICE_GIVES_UP);
+    }
 
     /** A line comes every 2 s: one that is late for want of processor time must not end a good watch. */
     @Test void aWatchIsBorneThroughALineThatIsASecondLate() { assertTrue(ServiceDiscovery.SILENCE >= 3_000 * MS); }
