--- a/decision/src/test/java/streamproxy/recovery/KnownBoxesTest.java
+++ b/decision/src/test/java/streamproxy/recovery/KnownReplicasTest.java
@@ -5,20 +5,20 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import streamproxy.recovery.KnownBoxes.Believed;
-import streamproxy.recovery.KnownBoxes.Source;
-import streamproxy.recovery.KnownBoxes.State;
-import streamproxy.recovery.KnownBoxes.Told;
+import streamproxy.recovery.KnownReplicas.Believed;
+import streamproxy.recovery.KnownReplicas.Source;
+import streamproxy.recovery.KnownReplicas.State;
+import streamproxy.recovery.KnownReplicas.Told;
 
 /** Each row of the table, by the harm that believing more, or less, would do. */
-class KnownBoxesTest {
+class KnownReplicasTest {
     private static final Told CONFIGURED = new Told("here", 5, true, Map.of("a", State.READY, "b", State.READY));
 
     private static Told kept(String service, long version, boolean whole) {
         return new Told(service, version, whole, Map.of("a", State.DRAINING, "b", State.READY, "c", State.READY, "d", State.GONE));
     }
 
-    private static Believed believed(Told kept) { return KnownBoxes.of(CONFIGURED, kept); }
+    private static Believed believed(Told kept) { return KnownReplicas.of(CONFIGURED, kept); }
 
     @Test void withNothingKeptTheConfigurationIsAllThereIs() {
         assertEquals(new Believed(Source.CONFIGURED, Set.of()), believed(null));
--- a/decision/src/test/java/streamproxy/timing/TurningTest.java
+++ b/decision/src/test/java/streamproxy/timing/StallDetectorTest.java
@@ -4,11 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import org.junit.jupiter.api.Test;
-import streamproxy.timing.Turning.Found;
+import streamproxy.timing.StallDetector.Found;
 
-class TurningTest {
+class StallDetectorTest {
     private static final long LOOK = 250;
-    private final Turning turning = new Turning(1_000, LOOK);
+    private final StallDetector turning = new StallDetector(1_000, LOOK);
     private long now;
 
     private Found after(long ns, long turns, boolean due) { return turning.look(now += ns, turns, due); }
@@ -39,5 +39,5 @@
         assertEquals(Found.STANDS, after(LOOK, 1, true));
     }
 
-    @Test void itMustBeLookedAtOftenEnough() { assertThrows(IllegalArgumentException.class, () -> new Turning(100, 250)); }
+    @Test void itMustBeLookedAtOftenEnough() { assertThrows(IllegalArgumentException.class, () -> new StallDetector(100, 250)); }
 }
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -13,7 +13,7 @@
 import streamproxy.decision.SettingsText;
 import streamproxy.protocol.EndpointEntry;
 import streamproxy.streams.RetryBudget;
-import streamproxy.streams.Together;
+import streamproxy.streams.StallCorrelator;
 import streamproxy.timing.TimerWheel;
 import streamproxy.decision.Routing.Health;
 import streamproxy.decision.Routing.ListForm;
@@ -23,7 +23,7 @@
 /**
  * The module's actor, sole caller of {@link Policy}. It keeps the clock, the timers and the table of requests,
  * turns what the peers report into the module's events and carries the module's actions out. It knows no
- * protocol: a second one brings its own {@link Client} and {@link Boxes} and keeps the same rules.
+ * protocol: a second one brings its own {@link Client} and {@link ReplicaDispatcher} and keeps the same rules.
  */
 public final class ModuleActor extends Actor<ModuleActor.Message> implements Routing.Actions {
     /** What the peers tell. */
@@ -83,13 +83,13 @@
     private final Clock clock;
     private final SettingsText.Deployment deployment;
     private Routing.Settings settings;
-    private final Boxes boxes;
+    private final ReplicaDispatcher boxes;
     private final Policy policy;
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<Long, EndpointEntry> known = new HashMap<>(); // as the list told of them last
     private final Map<Long, String> states = new HashMap<>(); // of boxes, for records alone
     private final Records records;
-    private final Together stalls; // null: each silence is its own
+    private final StallCorrelator stalls; // null: each silence is its own
     private final TimerWheel wheel;
     /** Events that an action brings about at once; the module gets them after the event it is at. */
     private final ArrayDeque<Message> own = new ArrayDeque<>();
@@ -100,13 +100,13 @@
     private long numbers;
     private volatile boolean knowsBoxes;
 
-    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes) { this(text, seed, clock, boxes, Records.NONE, null, null); }
+    public ModuleActor(SettingsText text, long seed, Clock clock, ReplicaDispatcher boxes) { this(text, seed, clock, boxes, Records.NONE, null, null); }
 
     /**
      * @param retries what may be sent again for all requests together; null where that is not bounded
      * @param stalls  tells streams of one box that fall silent together; null where each is reported by itself
      */
-    public ModuleActor(SettingsText text, long seed, Clock clock, Boxes boxes, Records records, RetryBudget retries, Together stalls) {
+    public ModuleActor(SettingsText text, long seed, Clock clock, ReplicaDispatcher boxes, Records records, RetryBudget retries, StallCorrelator stalls) {
         super("module", MAILBOX);
         this.records = records;
         this.stalls = stalls;
--- a/router/src/test/java/streamproxy/stories/ConnectionStories.java
+++ b/router/src/test/java/streamproxy/stories/ConnectionIntegrationTest.java
@@ -25,9 +25,9 @@
 import streamproxy.protocol.OperatorReader;
 
 /** What many connections, idle, mute, gone and back at once, do to those that ask. */
-public class ConnectionStories {
+public class ConnectionIntegrationTest {
     private static final String END = "0\r\n\r\n";
-    private static final ScriptedBox.Script SERVES = e -> e.stream("data: one\n\n", "data: [DONE]\n\n");
+    private static final ScriptedPeer.Script SERVES = e -> e.stream("data: one\n\n", "data: [DONE]\n\n");
     private static final String PATIENT = "client_idle_s = 600\nclient_mute_s = 600\n";
 
     private final List<AutoCloseable> opened = new ArrayList<>();
@@ -57,8 +57,8 @@
         return read;
     }
 
-    private ScriptedBox routerOver(int descriptors, int memoryMb, String connections, ScriptedBox.Script script) throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(script));
+    private ScriptedPeer routerOver(int descriptors, int memoryMb, String connections, ScriptedPeer.Script script) throws Exception {
+        ScriptedPeer box = keep(new ScriptedPeer(script));
         deployment = keep(new Deployment("127.0.0.1:0", descriptors, memoryMb, box));
         router = deployment.start(operator(connections));
         await("ready", () -> {
@@ -121,7 +121,7 @@
     /** As after a restart of a front layer: what was taken is answered, and who comes back is, too. */
     @Test public void whenAllReconnectAtOnceNoRequestThatWasTakenIsLost() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(8000, 4096, PATIENT + "clients_most = 1500\nactive_most = 600\naccepts_per_s = 4000\n", e -> {
+        ScriptedPeer box = routerOver(8000, 4096, PATIENT + "clients_most = 1500\nactive_most = 600\naccepts_per_s = 4000\n", e -> {
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
         });
@@ -176,7 +176,7 @@
 
     @Test public void beyondTheMostActiveARequestIsToldAtOnceWhenToComeBack() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(1024, 4096, PATIENT + "active_most = 3\naccepts_per_s = 10\n", e -> {
+        ScriptedPeer box = routerOver(1024, 4096, PATIENT + "active_most = 3\naccepts_per_s = 10\n", e -> {
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
         });
@@ -258,18 +258,18 @@
     }
 
     private static Process startWith200Descriptors(Deployment deployment) throws IOException {
-        return ProgramStories.start(deployment.environment, List.of("sh", "-c", "ulimit -n 200; exec \"$@\"", "sh"), "serve");
+        return ProgramIntegrationTest.start(deployment.environment, List.of("sh", "-c", "ulimit -n 200; exec \"$@\"", "sh"), "serve");
     }
 
     /** The system's limit may be lower than the platform says: idle connections go, and who asks is served. */
     @Test public void whereDescriptorsRunOutIdleConnectionsMakeRoom() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(SERVES));
+        ScriptedPeer box = keep(new ScriptedPeer(SERVES));
         int port = freePort();
         Deployment deployment = keep(new Deployment("127.0.0.1:" + port, 2048, 4096, box));
         Process program = startWith200Descriptors(deployment);
         InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
         try {
-            ProgramStories.awaitReady(at, program);
+            ProgramIntegrationTest.awaitReady(at, program);
             List<Socket> idle = new ArrayList<>();
             for (int i = 0; i < 400; i++) {
                 Socket socket = keep(new Socket("127.0.0.1", port));
@@ -296,8 +296,8 @@
 
     /** Idle clients hold all that they may while the list's service is away: it is found again, and who asks is served. */
     @Test public void whileTheListsServiceIsAwayIdleClientsMayFillTheDescriptors() throws Exception {
-        ScriptedBox drains = keep(new ScriptedBox(SERVES));
-        ScriptedBox stays = keep(new ScriptedBox(SERVES));
+        ScriptedPeer drains = keep(new ScriptedPeer(SERVES));
+        ScriptedPeer stays = keep(new ScriptedPeer(SERVES));
         int port = freePort();
         Deployment deployment = keep(new Deployment("127.0.0.1:" + port, 2048, 4096, drains, stays));
         deployment.list.play(e -> {
@@ -307,7 +307,7 @@
         Process program = startWith200Descriptors(deployment);
         InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
         try {
-            ProgramStories.awaitReady(at, program);
+            ProgramIntegrationTest.awaitReady(at, program);
             List<Socket> idle = new ArrayList<>();
             for (int i = 0; i < 400; i++) {
                 Socket socket = keep(new Socket("127.0.0.1", port));
@@ -355,7 +355,7 @@
     /** A front layer may restart while the router does: in its grace it serves who comes back, and loses none it took. */
     @Test public void whenAllReconnectDuringTheGraceNoRequestThatWasTakenIsLost() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(4000, 4096, PATIENT + "clients_most = 700\nactive_most = 400\naccepts_per_s = 4000\n", e -> {
+        ScriptedPeer box = routerOver(4000, 4096, PATIENT + "clients_most = 700\nactive_most = 400\naccepts_per_s = 4000\n", e -> {
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
         });
@@ -401,6 +401,38 @@
         assertEquals("and each that a box got was answered", 20 + served, box.attempts.size());
     }
 
+    /** Bad input while the router leaves has its usual answers, and keeps it neither from what it has taken nor from leaving. */
+    @Test public void badInputDuringTheShutdownIsAnsweredAndHoldsNothingUp() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        ScriptedPeer box = routerOver(1024, 4096, PATIENT, e -> {
+            assertTrue(go.await(30, TimeUnit.SECONDS));
+            SERVES.play(e);
+        });
+        Caller taken = keep(new Caller(router.address())).send(Caller.prompt("taken", "{}"));
+        Caller bytes = keep(new Caller(router.address()));
+        Caller flood = keep(new Caller(router.address()));
+        Caller half = keep(new Caller(router.address())).send(Caller.prompt("half", "{}").substring(0, 40));
+        await("all are held, the box has one", () -> router.clients().held() == 4 && box.attempts.size() == 1);
+        Thread leaves = leaves();
+        await("the grace has begun", () -> !router.lifecycle().ready());
+        for (char c : "NO SUCH REQUEST\r\n".toCharArray()) {
+            bytes.send(String.valueOf(c));
+        }
+        assertStatus("400", bytes.readAll());
+        flood.send("POST /v1/chat/completions HTTP/1.1\r\nX: " + "x".repeat(17 * 1024));
+        assertStatus("431", flood.readAll());
+        new Caller(router.address()).send("POST /v1").close(); // sends and goes at once
+        assertStatus("408", half.readAll()); // not whole in its time
+        go.countDown();
+        String answer = taken.readAll();
+        assertTrue(answer, answer.startsWith("HTTP/1.1 200 ") && answer.endsWith(END));
+        leaves.join(TimeUnit.SECONDS.toMillis(15));
+        assertTrue("it has left", !leaves.isAlive());
+        assertEquals(0, router.clients().held());
+    }
+
+    private static void assertStatus(String status, String answer) { assertTrue(answer, answer.startsWith("HTTP/1.1 " + status + " ")); }
+
     /** Limits change under a crowd that comes back: what is held stays, what comes meets one of the two, none is lost. */
     @Test public void whenAllReconnectWhileTheConfigurationIsReadAnewNoRequestIsLost() throws Exception {
         routerOver(8000, 4096, PATIENT + "clients_most = 2000\nactive_most = 600\naccepts_per_s = 5000\n", SERVES);
@@ -439,7 +471,7 @@
     /** While it leaves, idle ones are let go of at once and those with a request get their answers. */
     @Test public void leavingWithAThousandIdleItFinishesWhatItHasTaken() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(4000, 4096, PATIENT + "clients_most = 1100\n", e -> {
+        ScriptedPeer box = routerOver(4000, 4096, PATIENT + "clients_most = 1100\n", e -> {
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
         });
@@ -461,7 +493,7 @@
     @Test public void connectionsThatABoxClosesWhileTheyRestAreNotUsedAgain() throws Exception {
         AtomicInteger under = new AtomicInteger();
         CountDownLatch go = new CountDownLatch(1);
-        ScriptedBox box = routerOver(2000, 4096, PATIENT, e -> {
+        ScriptedPeer box = routerOver(2000, 4096, PATIENT, e -> {
             under.incrementAndGet();
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
--- a/router/src/test/java/streamproxy/stories/ProgramStories.java
+++ b/router/src/test/java/streamproxy/stories/ProgramIntegrationTest.java
@@ -26,7 +26,7 @@
 import streamproxy.program.Main;
 
 /** Starts the program itself, as its users do, and speaks to it over sockets. */
-public class ProgramStories {
+public class ProgramIntegrationTest {
     /** Starts the program, with {@code before} in front of the command that does. */
     private static String classPath;
 
@@ -92,7 +92,7 @@
 
     @Test public void itServesAndOnSigtermLeavesWithZero() throws Exception {
         InetSocketAddress at = freeAddress();
-        try (ScriptedBox box = new ScriptedBox(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
+        try (ScriptedPeer box = new ScriptedPeer(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
                 Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
             Process program = start(deployment.environment, "serve");
             try {
@@ -110,10 +110,52 @@
         }
     }
 
+    /** SIGHUP and a second SIGTERM while the program leaves: it goes on leaving, and finishes what it has taken. */
+    @Test public void signalsThatComeDuringTheShutdownCutNothingOff() throws Exception {
+        InetSocketAddress at = freeAddress();
+        CountDownLatch go = new CountDownLatch(1);
+        try (ScriptedPeer box = new ScriptedPeer(e -> {
+                    e.streamHead();
+                    e.chunk("data: hello\n\n");
+                    assertTrue(go.await(30, TimeUnit.SECONDS));
+                    e.chunk("data: [DONE]\n\n");
+                    e.write("0\r\n\r\n");
+                });
+                Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
+            Process program = start(deployment.environment, "serve");
+            try (Caller caller = caller(at, program)) {
+                caller.send(Caller.prompt("a1", "{}")).readTo("hello\n\n\r\n");
+                BufferedReader log = program.errorReader();
+                signal(program, "TERM");
+                awaitLine(log, "LEAVING after SERVING");
+                hangUp(program);
+                signal(program, "TERM");
+                awaitLine(log, "FINISHING after LEAVING");
+                hangUp(program);
+                signal(program, "TERM");
+                go.countDown();
+                String rest = caller.readTo("0\r\n\r\n");
+                assertTrue(rest, rest.contains("data: [DONE]\n\n"));
+                assertTrue("it ends", program.waitFor(15, TimeUnit.SECONDS));
+                assertEquals(0, program.exitValue());
+            } finally {
+                program.destroyForcibly();
+            }
+        }
+    }
+
+    private static void awaitLine(BufferedReader log, String text) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(text)) {
+            line = log.readLine();
+        }
+        assertTrue("the log ended without: " + text, line != null);
+    }
+
     /** A new process is started beside the running one on the same address, as in an upgrade; it used to exit with 3. */
     @Test public void aSecondProcessOnTheSameAddressServesBesideTheFirst() throws Exception {
         InetSocketAddress at = freeAddress();
-        try (ScriptedBox box = new ScriptedBox(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
+        try (ScriptedPeer box = new ScriptedPeer(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
                 Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
             Process old = start(deployment.environment, "serve");
             Process next = null;
@@ -143,22 +185,24 @@
         return new Caller(at);
     }
 
-    private static void hangUp(Process program) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(program.pid())).start().waitFor());
+    private static void hangUp(Process program) throws Exception { signal(program, "HUP"); }
+
+    private static void signal(Process program, String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(program.pid())).start().waitFor());
     }
 
     /** Unhandled, SIGHUP ends a JVM; and each service's versions are its own. */
     @Test public void onSighupItMovesToTheBoxListThatItsFileNamesAndKeepsTheOldOneForABadFile() throws Exception {
         InetSocketAddress at = freeAddress();
         CountDownLatch go = new CountDownLatch(1);
-        try (ScriptedBox box = new ScriptedBox(e -> {
+        try (ScriptedPeer box = new ScriptedPeer(e -> {
                     e.streamHead();
                     e.chunk("data: hello\n\n");
                     assertTrue(go.await(10, TimeUnit.SECONDS));
                     e.write("0\r\n\r\n");
                 });
-                ScriptedBox newcomer = new ScriptedBox(e -> e.stream("data: new\n\n"));
-                ScriptedBox list = new ScriptedBox(e -> {
+                ScriptedPeer newcomer = new ScriptedPeer(e -> e.stream("data: new\n\n"));
+                ScriptedPeer list = new ScriptedPeer(e -> {
                     if (e.head().contains("follow=1")) {
                         e.streamHead();
                     } else {
@@ -200,7 +244,7 @@
 
     /** With more connections than threads fit in, the router would be killed for its memory. */
     @Test public void limitsThatLeaveNoRoomAreSaidAtTheStart() throws Exception {
-        try (ScriptedBox box = new ScriptedBox(e -> { });
+        try (ScriptedPeer box = new ScriptedPeer(e -> { });
                 Deployment deployment = new Deployment("127.0.0.1:0", 40, box)) {
             Process program = start(deployment.environment, "serve");
             String said = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
@@ -226,13 +270,13 @@
     /** Ten of 14 routers that are killed and come back at once must not come down on the boxes. */
     @Test public void killedAndStartedAgainUnderLoadItServesAndProbesAndConnectsNoMoreThanItIsAsked() throws Exception {
         InetSocketAddress at = freeAddress();
-        ScriptedBox[] boxes = new ScriptedBox[12];
+        ScriptedPeer[] boxes = new ScriptedPeer[12];
         for (int i = 0; i < boxes.length; i++) {
-            boxes[i] = new ScriptedBox(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
+            boxes[i] = new ScriptedPeer(e -> e.stream("data: hello\n\n", "data: [DONE]\n\n"));
         }
         try (Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, boxes)) {
             for (int life = 0; life < 2; life++) {
-                for (ScriptedBox box : boxes) {
+                for (ScriptedPeer box : boxes) {
                     box.connections.set(0);
                     box.probes.set(0);
                 }
@@ -249,7 +293,7 @@
                     }
                     int probes = 0;
                     int connections = 0;
-                    for (ScriptedBox box : boxes) {
+                    for (ScriptedPeer box : boxes) {
                         probes += box.probes.get();
                         connections += box.connections.get();
                     }
@@ -260,14 +304,14 @@
                 }
             }
         } finally {
-            for (ScriptedBox box : boxes) {
+            for (ScriptedPeer box : boxes) {
                 box.close();
             }
         }
     }
 
     @Test public void withoutItsConfigurationItSaysWhyInOneLineAndFails() throws Exception {
-        try (ScriptedBox box = new ScriptedBox(e -> { });
+        try (ScriptedPeer box = new ScriptedPeer(e -> { });
                 Deployment deployment = Deployment.of(box)) {
             Map<String, String> broken = new HashMap<>(deployment.environment);
             broken.put("NODE_LISTEN", "here");
@@ -297,7 +341,7 @@
 
     @Test public void anOperatorsFileThatCannotBeUsedIsSaidInOneLineWithItsPlace() throws Exception {
         Path file = operator("[connections]\nclients_most = 100\nactive_most = 101\n");
-        try (ScriptedBox box = new ScriptedBox(e -> { }); Deployment deployment = Deployment.of(box)) {
+        try (ScriptedPeer box = new ScriptedPeer(e -> { }); Deployment deployment = Deployment.of(box)) {
             String line = "streamproxy: " + file + ": line 3: [connections] active_most: active_most is over clients_most, which is 100\n";
             assertEquals(line, said(start(deployment.environment, "serve", "--operator", file.toString()), 3));
             assertEquals(line, said(start(Map.of(), "config", "check", "--operator", file.toString()), 3));
@@ -316,7 +360,7 @@
     @Test public void onSighupTheOperatorsFileIsReadAgainAndABadOneChangesNothing() throws Exception {
         InetSocketAddress at = freeAddress();
         Path file = operator("[connections]\nclient_idle_s = 600\nclient_mute_s = 600\n");
-        try (ScriptedBox box = new ScriptedBox(e -> e.stream("data: hello\n\n"));
+        try (ScriptedPeer box = new ScriptedPeer(e -> e.stream("data: hello\n\n"));
                 Deployment deployment = new Deployment("127.0.0.1:" + at.getPort(), 1024, box)) {
             deployment.configureDiscovery(deployment.list.address());
             Process program = start(deployment.environment, "serve", "--operator", file.toString());
--- a/router/src/test/java/streamproxy/stories/RecordsStories.java
+++ b/router/src/test/java/streamproxy/stories/RecordsIntegrationTest.java
@@ -26,18 +26,18 @@
 import streamproxy.protocol.NodeConfig;
 import streamproxy.protocol.OperatorFile;
 import streamproxy.protocol.OperatorReader;
-import streamproxy.syslog.reading.Found;
+import streamproxy.syslog.reading.ParsedMessage;
 import streamproxy.syslog.reading.Frames;
 import streamproxy.syslog.reading.Malformed;
 import streamproxy.syslog.reading.StrictParser;
 
 /** Every answer, refusal and drain of a router is one record at its collector. */
-public class RecordsStories {
+public class RecordsIntegrationTest {
     private static final String END = "0\r\n\r\n";
-    private static final ScriptedBox.Script SERVES = e -> e.stream("data: one\n\n", "data: two\n\n", "data: [DONE]\n\n");
+    private static final ScriptedPeer.Script SERVES = e -> e.stream("data: one\n\n", "data: two\n\n", "data: [DONE]\n\n");
 
     private final List<AutoCloseable> opened = new ArrayList<>();
-    private final List<Found> found = new CopyOnWriteArrayList<>();
+    private final List<ParsedMessage> found = new CopyOnWriteArrayList<>();
     private final List<String> malformed = new CopyOnWriteArrayList<>();
     private Deployment deployment;
     private Router router;
@@ -97,26 +97,26 @@
         return read;
     }
 
-    private void routerWith(String more, ScriptedBox... boxes) throws Exception {
+    private void routerWith(String more, ScriptedPeer... boxes) throws Exception {
         deployment = keep(new Deployment("127.0.0.1:0", 1024, boxes));
         router = deployment.start(operator("[connections]\nactive_most = 50\n[syslog]\nhost = router-1\n" + more
                 + "[syslog collector main]\naddress = 127.0.0.1:" + collector() + "\ntransport = tcp\n"));
         await("ready", () -> !of("phase", f -> f.value("phase", "name").equals("serving")).isEmpty());
     }
 
-    private List<Found> of(String element, Predicate<Found> which) {
+    private List<ParsedMessage> of(String element, Predicate<ParsedMessage> which) {
         return found.stream().filter(f -> f.element(element).isPresent() && which.test(f)).toList();
     }
 
-    private Found request(String id) throws Exception {
+    private ParsedMessage request(String id) throws Exception {
         await("the record of " + id, () -> !of("request", f -> f.value("request", "id").equals(id)).isEmpty());
-        List<Found> records = of("request", f -> f.value("request", "id").equals(id));
+        List<ParsedMessage> records = of("request", f -> f.value("request", "id").equals(id));
         assertEquals(id, 1, records.size());
         return records.get(0);
     }
 
     @Test public void everyRequestOfALoadHasJustOneRecord() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(SERVES));
+        ScriptedPeer box = keep(new ScriptedPeer(SERVES));
         routerWith("", box);
         List<Thread> clients = new ArrayList<>();
         Map<String, String> told = new java.util.concurrent.ConcurrentHashMap<>();
@@ -147,7 +147,7 @@
         assertEquals(List.of(), malformed);
         assertFalse("probes are told", of("probe", f -> f.value("probe", "outcome").equals("ok")).isEmpty());
         assertFalse("and how old the report was that a choice went by", of("attempt", f -> !f.value("attempt", "report_ms").isEmpty()).isEmpty());
-        Found one = request("c3-7");
+        ParsedMessage one = request("c3-7");
         assertEquals("served", one.value("request", "end"));
         assertEquals("chat", one.value("request", "class"));
         assertEquals("7f3a9c21e0b4d655", one.value("request", "key"));
@@ -160,7 +160,7 @@
     }
 
     @Test public void whatGoesWrongIsToldWithItsAttempts() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(e -> {
+        ScriptedPeer box = keep(new ScriptedPeer(e -> {
             if (e.head().contains("Req-Id: broken")) {
                 e.streamHead();
                 e.chunk("data: one\n\n");
@@ -186,7 +186,7 @@
         try (Caller caller = new Caller(router.address())) {
             assertTrue(caller.send(Caller.prompt("full", "{}")).readTo("\r\n").startsWith("HTTP/1.1 503 "));
         }
-        Found refused = request("full");
+        ParsedMessage refused = request("full");
         assertEquals("refusal", refused.messageId());
         assertEquals("refused", refused.value("request", "end"));
         assertEquals("spent", refused.value("request", "decision"));
@@ -197,8 +197,8 @@
     }
 
     @Test public void drainsReloadsAndThePhasesAreToldAndNothingIsLostAtTheEnd() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(SERVES));
-        ScriptedBox other = keep(new ScriptedBox(SERVES));
+        ScriptedPeer box = keep(new ScriptedPeer(SERVES));
+        ScriptedPeer other = keep(new ScriptedPeer(SERVES));
         routerWith("", box, other);
         await("both are ready", () -> of("box", f -> f.value("box", "state").equals("ready")).size() == 2);
         deployment.news.add(Deployment.told(2, false, Deployment.entry("s-1", other.address(), "draining")));
@@ -224,7 +224,7 @@
 
     /** Six streams that fall silent at once are one fault of their box: told six times it would be left out for minutes. */
     @Test public void aBoxWhoseStreamsStallTogetherIsToldOfOnce() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(e -> {
+        ScriptedPeer box = keep(new ScriptedPeer(e -> {
             e.streamHead();
             for (int i = 0; i < 40; i++) {
                 e.chunk("data: " + i + "\n\n");
@@ -249,7 +249,7 @@
 
     /** What is refused is refused whole: a bad collector must not let the limits beside it take effect. */
     @Test public void aReloadWithABadCollectorChangesNothing() throws Exception {
-        routerWith("", keep(new ScriptedBox(SERVES)));
+        routerWith("", keep(new ScriptedPeer(SERVES)));
         OperatorFile bad = operator("[connections]\nclients_most = 1\n[syslog collector x]\naddress = nowhere\n");
         router.reload(new Router.Reload() {
             @Override public NodeConfig.Again node() {
@@ -268,7 +268,7 @@
 
     /** The platform names no operator's file: there nothing of all this may run. */
     @Test public void withoutAnOperatorNothingIsRecorded() throws Exception {
-        deployment = keep(new Deployment("127.0.0.1:0", 1024, keep(new ScriptedBox(SERVES))));
+        deployment = keep(new Deployment("127.0.0.1:0", 1024, keep(new ScriptedPeer(SERVES))));
         Set<Thread> before = Thread.getAllStackTraces().keySet();
         router = deployment.start();
         assertNull(router.records());
@@ -277,7 +277,7 @@
     }
 
     @Test public void asJsonLinesTheyStandOnStandardError() throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(SERVES));
+        ScriptedPeer box = keep(new ScriptedPeer(SERVES));
         Path file = Files.createTempFile("operator", ".ini");
         Files.writeString(file, "[syslog]\njson = yes\n");
         int port;
@@ -285,10 +285,10 @@
             port = free.getLocalPort();
         }
         Deployment here = keep(new Deployment("127.0.0.1:" + port, 1024, box));
-        Process program = ProgramStories.start(here.environment, List.of(), "serve", "--operator", file.toString());
+        Process program = ProgramIntegrationTest.start(here.environment, List.of(), "serve", "--operator", file.toString());
         try {
             java.net.InetSocketAddress at = new java.net.InetSocketAddress("127.0.0.1", port);
-            ProgramStories.awaitReady(at, program);
+            ProgramIntegrationTest.awaitReady(at, program);
             try (Caller caller = new Caller(at)) {
                 caller.send(Caller.prompt("a1", "{}")).readTo(END);
             }
--- a/router/src/test/java/streamproxy/stories/StreamStories.java
+++ b/router/src/test/java/streamproxy/stories/StreamIntegrationTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.After;
@@ -20,7 +21,7 @@
 import streamproxy.program.Router;
 
 /** Streams whose clients are slow to read, and boxes that fall silent. */
-public class StreamStories {
+public class StreamIntegrationTest {
     private static final String END = "0\r\n\r\n";
     /** More than all socket buffers on the way take. */
     private static final int EVENTS = 2_000;
@@ -45,9 +46,9 @@
         return it;
     }
 
-    private ScriptedBox routerOver(String operator, ScriptedBox.Script script) throws Exception {
-        ScriptedBox box = keep(new ScriptedBox(script));
-        router = keep(new Deployment("127.0.0.1:0", 1024, box)).start(RecordsStories.operator(operator));
+    private ScriptedPeer routerOver(String operator, ScriptedPeer.Script script) throws Exception {
+        ScriptedPeer box = keep(new ScriptedPeer(script));
+        router = keep(new Deployment("127.0.0.1:0", 1024, box)).start(RecordsIntegrationTest.operator(operator));
         return box;
     }
 
@@ -61,7 +62,7 @@
         return socket;
     }
 
-    private static boolean threadTo(ScriptedBox box) {
+    private static boolean threadTo(ScriptedPeer box) {
         String port = box.address().substring(box.address().lastIndexOf(':'));
         return Thread.getAllStackTraces().keySet().stream().anyMatch(t -> t.getName().startsWith("to ") && t.getName().endsWith(port));
     }
@@ -89,7 +90,7 @@
         }
     }
 
-    private static void stream(ScriptedBox.Exchange e, AtomicInteger written, int events) throws IOException {
+    private static void stream(ScriptedPeer.Exchange e, AtomicInteger written, int events) throws IOException {
         e.streamHead();
         for (int i = 0; i < events; i++) {
             e.chunk("data: " + i + " " + FILLING + "\n\n");
@@ -101,7 +102,7 @@
     /** What it has not read is held up to a bound, the rest stays with the box; and nobody waits at the box meanwhile. */
     @Test public void aSlowClientHoldsABoundedPartOfItsStreamAndNoSecondThread() throws Exception {
         AtomicInteger written = new AtomicInteger();
-        ScriptedBox box = routerOver("[streams]\nhold_kb = 64\nlag_s = 600\n", e -> stream(e, written, EVENTS));
+        ScriptedPeer box = routerOver("[streams]\nhold_kb = 64\nlag_s = 600\n", e -> stream(e, written, EVENTS));
         Socket client = client("a1");
         await("the answer has begun", () -> written.get() > 10);
         await("nobody waits at the box", () -> router.held() > PAUSED && !threadTo(box));
@@ -135,7 +136,7 @@
     }
 
     @Test public void allSlowClientsTogetherHoldNoMoreThanTheyMay() throws Exception {
-        ScriptedBox box = routerOver("[streams]\nhold_kb = 256\nhold_all_mb = 1\nlag_s = 600\n", e -> stream(e, new AtomicInteger(), FEW));
+        ScriptedPeer box = routerOver("[streams]\nhold_kb = 256\nhold_all_mb = 1\nlag_s = 600\n", e -> stream(e, new AtomicInteger(), FEW));
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
             clients.add(client("a" + i));
@@ -148,11 +149,40 @@
         await("nothing is held", () -> router.held() == 0);
     }
 
+    /** Where stopped clients hold all that may be held, another's events still come one by one, each before the next is made. */
+    @Test public void aStoppedClientHoldsUpNoOthersEvents() throws Exception {
+        Semaphore next = new Semaphore(0);
+        ScriptedPeer box = routerOver("[streams]\nhold_kb = 256\nhold_all_mb = 1\nlag_s = 600\n", e -> {
+            if (!e.head().contains("Req-Id: quick")) {
+                stream(e, new AtomicInteger(), EVENTS);
+                return;
+            }
+            e.streamHead();
+            for (int i = 0; i < 20; i++) {
+                e.chunk("data: " + i + "\n\n");
+                assertTrue(next.tryAcquire(30, TimeUnit.SECONDS));
+            }
+            e.write(END);
+        });
+        for (int i = 0; i < 8; i++) {
+            client("stopped" + i);
+        }
+        await("nobody waits at the box", () -> box.attempts.size() == 8 && router.held() > 1 << 19 && !threadTo(box));
+        try (Caller quick = new Caller(router.address())) {
+            quick.send(Caller.prompt("quick", "{}"));
+            for (int i = 0; i < 20; i++) {
+                quick.readTo("data: " + i + "\n\n\r\n"); // no further event is made before this one has come
+                next.release();
+            }
+            quick.readTo(END);
+        }
+    }
+
     /** One that leaves while its stream waits for it: the box hears of it without anyone having waited there. */
     @Test public void aClientThatLeavesWhileItsStreamWaitsFreesTheBox() throws Exception {
         CountDownLatch freed = new CountDownLatch(1);
         AtomicInteger written = new AtomicInteger();
-        ScriptedBox box = routerOver("[streams]\nhold_kb = 64\nlag_s = 600\n", e -> {
+        ScriptedPeer box = routerOver("[streams]\nhold_kb = 64\nlag_s = 600\n", e -> {
             try {
                 stream(e, written, EVENTS);
             } catch (IOException closed) {
