--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -791,7 +791,7 @@
         }
     }
 
-    /** The share of its prompts, by weight, that a gateway may send a cold one that can do all; 0 where none is cold. */
+    /** The share of its prompts, by weight, for a cold one that can do all; 0 where none is cold. */
     private double turnsShare(long now) {
         double all = fleet.stream().mapToDouble(r -> r.weight).sum();
         double warm = fleet.stream().mapToDouble(r -> cold(now, r) ? 0 : r.weight).sum();
