Pass a client's Idempotency-Key on to the replicas

Change: the field goes on as it came, and none is made. RouterIntegrationTest holds it; that test, its neighbours and LayersTest pass.

--- a/router/src/main/java/streamproxy/protocol/HttpWriter.java
+++ b/router/src/main/java/streamproxy/protocol/HttpWriter.java
@@ -62,12 +62,16 @@
     /** A request passed on to a model box, head and body together. */
     public void passOn(PassedOn request, String host, double waitS) throws IOException {
         byte[] head = ascii(request.method() + " " + request.target() + " HTTP/1.1\r\nHost: " + host
-                + "\r\nReq-Id: " + request.id() + "\r\nReq-Deadline: " + seconds(waitS)
+                + "\r\nReq-Id: " + request.id() + idempotencyKey(request) + "\r\nReq-Deadline: " + seconds(waitS)
                 + "\r\nContent-Type: application/json\r\nContent-Length: " + request.body().length + "\r\n\r\n");
         to.write(head);
         to.write(request.body());
     }
 
+    private static String idempotencyKey(PassedOn request) {
+        return request.idempotencyKey() == null ? "" : "\r\nIdempotency-Key: " + request.idempotencyKey();
+    }
+
     /** With three decimals; a format would be read anew for each request. */
     private static String seconds(double seconds) {
         long ms = Math.round(seconds * 1000);
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -185,7 +185,7 @@
         AnswerBuffer held = new AnswerBuffer(streams, desk.heldBytes(), System.nanoTime(), connection::hasEnded);
         answer = held;
         Request request = new Request(prompted, Math.max(0, desk.tenants().indexOf(prompted.tenant())),
-                new PassedOn(head.method(), head.target(), prompted.id(), body), held, desk.clock().now());
+                new PassedOn(head.method(), head.target(), prompted.id(), head.get("Idempotency-Key"), body), held, desk.clock().now());
         if (!desk.module().taken(request)) {
             desk.records().turnedAway(prompted, "mailbox_full");
             return say(503, NO_ROOM, head, at.later());
--- a/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
@@ -43,6 +43,16 @@
         assertEquals("{\"model\":\"chat\"}", passed.body());
     }
 
+    /** Replicas drop the repeats of a request by its key: without it a repeat would run a second time. */
+    @Test public void anIdempotencyKeyIsPassedOnAndNoneIsMade() throws Exception {
+        ScriptedPeer box = box(SERVES);
+        routerOver(box);
+        caller().send(Caller.prompt("a", "{}").replace("Req-Id:", "Idempotency-Key: \"k-17\"\r\nReq-Id:")).readTo("0\r\n\r\n");
+        assertTrue(box.attempts.take().head().contains("\r\nIdempotency-Key: \"k-17\"\r\n"));
+        caller().send(Caller.prompt("b", "{}")).readTo("0\r\n\r\n");
+        assertFalse(box.attempts.take().head().contains("Idempotency-Key"));
+    }
+
     @Test public void connectionsAreUsedAgainAndOneClosedWhileIdleIsNot() throws Exception {
         ScriptedPeer box = box(SERVES);
         routerOver(box);
