--- a/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
+++ b/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
@@ -64,7 +64,7 @@
     static final long ANSWER = 2_500_000_000L;
     /**
      * The same for the first call behind a watch that brought something: the watch's silence has taken half of the time. With
-     * this for all calls a service short of time told fewer (drain on herd+mass, 6 times).
+     * this for all calls, and shorter pauses, the standing test failed (drain on herd+mass, 6 times).
      */
     static final long ANSWER_SOON = 2_200_000_000L;
     /** The longest line of a watch; with tens of bytes for each replica, that is far more than any fleet has. */
