Log each call of service discovery and each endpoint's transitions

Cause: the incident's logs told a fault of discovery once, and neither when calls began, how long they took, which version came, nor when an endpoint drained. Change: one line for each call's end (the first ten failures in a row, then each tenth), one for the transitions that an answer brings, attempts and refusals at debug level.

--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -79,6 +79,7 @@
     /** A tick of about a quarter of a millisecond: the module's times are in milliseconds. */
     private static final int TICK_SHIFT = 18;
     private static final int MAILBOX = 8192;
+    private static final long MS = 1_000_000;
 
     private final Clock clock;
     private final SettingsText.Deployment deployment;
@@ -274,6 +275,8 @@
         }
         m.attempt.outcome = outcome;
         m.attempt.tookNs = now - m.attempt.sentAt;
+        Logger.debug("attempt {} of {} at {}: {} after {} ms, chosen as {}", m.attempt.number, request.prompt.id(), m.attempt.box,
+                outcome, m.attempt.tookNs / MS, m.attempt.choice);
         records.ended(m.attempt);
         policy.on(now, new Routing.Ended(request.number, m.attempt.number, m.attempt.boxId, outcome, request.over,
                 now - m.attempt.sentAt, m.keptTokens, m.report));
@@ -335,11 +338,12 @@
         }
         List<Routing.Endpoint> entries = new ArrayList<>();
         Set<Long> named = new HashSet<>();
+        EndpointChanges changes = new EndpointChanges();
         for (EndpointEntry box : boxesNow) {
-            Health health = box.isReady() ? Health.READY : Health.DRAINING;
+            Health health = healthOf(box);
             long id = box.id();
-            if (box.isGone() || box.endpoint() == null) {
-                health = Health.GONE;
+            changes.note(box.uid(), healthOf(known.get(id)), health);
+            if (health == Health.GONE) {
                 known.remove(id);
                 boxes.gone(id);
                 note(id, box.uid(), null, "gone");
@@ -355,16 +359,27 @@
         if (news.form == ListForm.FULL || news.form == ListForm.CACHED) {
             for (long id : List.copyOf(known.keySet())) {
                 if (!named.contains(id)) {
-                    note(id, known.remove(id).uid(), null, "gone");
+                    EndpointEntry dropped = known.remove(id);
+                    changes.note(dropped.uid(), healthOf(dropped), Health.GONE);
+                    note(id, dropped.uid(), null, "gone");
                     boxes.gone(id); // what a full list does not name is gone
                 }
             }
         }
+        changes.log();
         knowsBoxes = !known.isEmpty();
         records.list(news.form, news.boxes.size(), known.size());
         policy.on(now, new Routing.ListChange(news.form, entries));
     }
 
+    /** What may be sent there by that entry; an endpoint that is not listed, null, is gone. */
+    private static Health healthOf(EndpointEntry entry) {
+        if (entry == null || entry.isGone() || entry.endpoint() == null) {
+            return Health.GONE;
+        }
+        return entry.isReady() ? Health.READY : Health.DRAINING;
+    }
+
     private String uid(long id) {
         EndpointEntry box = known.get(id);
         return box == null ? "-" : box.uid();
@@ -430,6 +445,7 @@
     @Override public void refuse(long request, long retryAfterNs) {
         Request r = requests.get(request);
         if (r != null && r.answer()) { // else its stream has begun meanwhile, and is the answer
+            Logger.debug("request {} refused: {}, after {} attempts", r.prompt.id(), r.choice, r.attempts.size());
             r.client.refused(retryAfterNs);
             close(r);
             forget(r);
--- a/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
+++ b/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
@@ -76,6 +76,8 @@
     private final Budget budget;
     private final ModuleActor module;
     private final Set<String> logged = new HashSet<>();
+    private final DiscoveryCallLog callLog = new DiscoveryCallLog();
+    private int calls;
     private InetSocketAddress discovery;
     /** The last version that this service told; none since the move to it. */
     private OptionalLong version = OptionalLong.empty();
@@ -153,6 +155,9 @@
         } else if (message instanceof Heard m) {
             heard(m);
         } else if (message instanceof Failed m) {
+            if (!m.call.closed && (m.why != null || m.call.watching)) {
+                callLog.ended(m.call.number, System.nanoTime() - m.call.beganAt, m.call.watching && m.call.answered, m.why);
+            }
             if (m.why != null && !m.call.closed) {
                 log(FAILED + m.why);
             }
@@ -228,6 +233,10 @@
             }
             at(OptionalLong.of(m.news.version()));
             byAnother = false;
+            if (!m.call.answered) {
+                m.call.answered = true;
+                callLog.answered(m.call.number, System.nanoTime() - m.call.beganAt, m.news.version());
+            }
             logged.removeIf(fault -> fault.startsWith(FAILED)); // the next failure is another one
             tell(m.news);
             shared.told(discovery, m.news.version(), m.news.full(), m.line);
@@ -284,11 +293,14 @@
 
     /** One call of discovery on a connection and thread of its own. */
     private final class Call {
+        private final int number = ++calls;
+        private final long beganAt = System.nanoTime();
         private final InetSocketAddress at;
         private final String target;
         private final boolean watching;
         private final long since; // the version that it was begun with; -1 for none
         private final long answerNs;
+        private boolean answered; // it has brought a list; the actor alone touches it
         private volatile boolean alive; // it has brought something, if only an empty line
         private volatile Connection connection;
         private volatile boolean closed;
