Reproduce the drain incident on real sockets, listed as known red

Cause: a router goes on sending on a list that nobody has confirmed, without a bound in time. Change: four cases over scripted peers; a replica that drains answers probes with 503. The three bear the tag known-red.

--- a/router/src/test/java/streamproxy/stories/ScriptedPeer.java
+++ b/router/src/test/java/streamproxy/stories/ScriptedPeer.java
@@ -64,6 +64,7 @@
     /** The requests that came, probes left out. */
     final BlockingQueue<Exchange> attempts = new LinkedBlockingQueue<>();
     private volatile Script script;
+    private volatile boolean drains;
 
     ScriptedPeer(Script script) throws IOException {
         this.script = script;
@@ -74,6 +75,9 @@
 
     void play(Script next) { script = next; }
 
+    /** From now on it answers probes as a replica does that drains; it goes on taking attempts. */
+    void drain() { drains = true; }
+
     String address() { return "127.0.0.1:" + server.getLocalPort(); }
 
     /** Closes what is open, as a process that dies or tidies up does. */
@@ -109,7 +113,7 @@
                 Exchange exchange = new Exchange(head, body, socket);
                 if (head.startsWith("GET /status/load ")) {
                     probes.incrementAndGet();
-                    exchange.answer("200 OK", "", "{\"lat_ms\":5,\"rif\":0,\"q\":0,\"x1\":0}");
+                    exchange.answer(drains ? "503 Service Unavailable" : "200 OK", "", drains ? "" : "{\"lat_ms\":5,\"rif\":0,\"q\":0,\"x1\":0}");
                 } else {
                     attempts.add(exchange);
                     script.play(exchange);
--- /dev/null
+++ b/router/src/test/java/streamproxy/stories/UnconfirmedListIntegrationTest.java
@@ -0,0 +1,143 @@
+package streamproxy.stories;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static streamproxy.stories.Waiting.await;
+
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What a router sends while service discovery confirms its list no more. Of two replicas one drains, which the router is
+ * never told; a change counts as told 6 s after service discovery had it. The other replica turns attempts away from then
+ * on, so that the router has nowhere to go but to the one that drains.
+ */
+class UnconfirmedListIntegrationTest extends RouterTestBase {
+    /** How long after its beginning a drain counts as told, with the grace to stop sending and the platform's slack. */
+    private static final long LAST_SEND = TimeUnit.MILLISECONDS.toNanos(6_000 + 500 + 50);
+    private static final long WATCHED_FOR = TimeUnit.MILLISECONDS.toNanos(9_000);
+    private static final String END = "\r\n\r\n";
+
+    private final ConcurrentLinkedQueue<Long> sentToDraining = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<Long> sentToOther = new ConcurrentLinkedQueue<>();
+    private volatile long drainsSince = Long.MAX_VALUE;
+    private int asked;
+
+    private final ScriptedPeer draining = box(e -> {
+        sentToDraining.add(System.nanoTime());
+        SERVES.play(e);
+    });
+    private final ScriptedPeer other = box(e -> {
+        sentToOther.add(System.nanoTime());
+        if (drainsSince != Long.MAX_VALUE && System.nanoTime() - drainsSince > LAST_SEND) {
+            e.answer("503 Busy", "Srv-Declined: 1\r\n", "");
+        } else {
+            SERVES.play(e);
+        }
+    });
+
+    UnconfirmedListIntegrationTest() throws Exception { }
+
+    @AfterEach void closeRouter() throws Exception { closeAll(); }
+
+    private void startDraining() {
+        draining.drain();
+        drainsSince = System.nanoTime();
+    }
+
+    /** The status of the answer to one more request, of a session of its own. */
+    private String status() throws Exception {
+        String key = String.format("%016x", 0x9e3779b97f4a7c15L * ++asked);
+        try (Caller caller = new Caller(router.address())) {
+            String answer = caller.send(Caller.prompt("a" + asked, "{}").replace("7f3a9c21e0b4d655", key)).readTo(END);
+            return answer.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length());
+        }
+    }
+
+    private void askUntilBothHaveServed() throws Exception {
+        await("both replicas serve", () -> status().equals("200") && !sentToDraining.isEmpty() && !sentToOther.isEmpty());
+    }
+
+    private void askWhileWatched() throws Exception {
+        while (System.nanoTime() - drainsSince < WATCHED_FOR) {
+            String status = status();
+            assertTrue(List.of("200", "503").contains(status), status);
+        }
+    }
+
+    private void assertNothingIsSentAfterTheGrace() throws Exception {
+        askWhileWatched();
+        assertTrue(sentToOther.stream().anyMatch(at -> at - drainsSince > LAST_SEND), "the other replica was tried to the end");
+        long late = sentToDraining.stream().filter(at -> at - drainsSince > LAST_SEND).count();
+        assertEquals(0, late, "attempts after the grace, of " + sentToDraining.size());
+    }
+
+    /** The incident: a service with more callers than it can answer in time turns each call away. */
+    @Tag("known-red")
+    @Test void whereEachCallIsTurnedAwayNothingIsSentToAReplicaWhoseDrainCountsAsTold() throws Exception {
+        Deployment deployment = keep(Deployment.of(draining, other));
+        deployment.list.play(e -> e.answer("503 Busy", "", ""));
+        routerIn(deployment);
+        askUntilBothHaveServed();
+        startDraining();
+        assertNothingIsSentAfterTheGrace();
+    }
+
+    /** What a silent watch misses counts as told 6 s after it fell silent, and each call behind it hangs. */
+    @Tag("known-red")
+    @Test void behindASilentWatchNothingIsSentToAReplicaWhoseDrainCountsAsTold() throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        Deployment deployment = keep(Deployment.of(draining, other));
+        deployment.list.play(e -> {
+            if (told.getCount() > 0) {
+                e.streamHead();
+                e.chunk(Deployment.told(2, false, "") + "\n");
+                told.countDown();
+            }
+            e.awaitClose();
+        });
+        routerIn(deployment);
+        told.await();
+        startDraining();
+        assertNothingIsSentAfterTheGrace();
+    }
+
+    /** A process that starts cannot know how old its configured list is. */
+    @Tag("known-red")
+    @Test void afterAStartNothingIsSentToAReplicaThatHasNotProvedReady() throws Exception {
+        Deployment deployment = keep(Deployment.of(draining, other));
+        deployment.list.play(e -> e.awaitClose());
+        startDraining();
+        drainsSince -= LAST_SEND; // long before the start
+        routerIn(deployment);
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
+        while (System.nanoTime() < until) {
+            assertEquals("503", status());
+        }
+        assertEquals(0, sentToDraining.size());
+        assertTrue(sentToOther.size() > 0, "the replica that answers its probes is tried");
+    }
+
+    /** Where connections are refused nothing can be told: the list stays good for as long as the service is down. */
+    @Test void whileServiceDiscoveryIsDownTheListStaysInUse() throws Exception {
+        Deployment deployment = keep(Deployment.of(draining, other));
+        CountDownLatch told = new CountDownLatch(1);
+        deployment.list.play(e -> {
+            e.streamHead();
+            e.chunk(Deployment.told(2, false, "") + "\n");
+            told.countDown();
+            e.awaitClose();
+        });
+        routerIn(deployment);
+        told.await();
+        deployment.list.close();
+        startDraining();
+        askWhileWatched();
+        assertTrue(sentToDraining.stream().anyMatch(at -> at - drainsSince > LAST_SEND), "it is used as long as nobody says otherwise");
+    }
+}
