Refuse requests after a shutdown's grace, watch pushed lists, bound tests' waits

Read line by line: a connection whose request is written slowly, or whose stream began before SIGTERM, stays open, and a request that is whole after the grace is served up to its own deadline, which lies behind the kill. Where lists are pushed the module asked for no watch, so nothing was ever told. A settings' pause shorter than a call binds a list for that pause only. A test read its program's log for ever where SIGHUP is ignored.

Change: such a request gets 503 at once, and a log line; the watch is opened in both modes; ListLease tells watched from unwatched; waits for a program's lines and its end are bounded and say what they waited for.

Measured: aRequestThatComesAfterTheGrace... and aListThatIsPushed... fail without their mends and pass with them; the classes touched pass (51 tests, then ProgramIntegrationTest, 12).

--- a/decision/src/main/java/streamproxy/decision/ListLease.java
+++ b/decision/src/main/java/streamproxy/decision/ListLease.java
@@ -37,14 +37,16 @@
     /**
      * A lease on a list of unknown age, where service discovery has to be asked.
      *
-     * @param now         when the process started
-     * @param askEveryNs  the settings' pause between calls
-     * @param canBeProved whether endpoints can prove by themselves to be ready; else that list is taken to be complete as of
-     *                    the start, since nothing could be sent at all
+     * @param now           when the process started
+     * @param askEveryNs    the settings' pause between calls
+     * @param longestCallNs how long a call may wait for its answer; within the pause, each has failed before the next is due
+     * @param canBeProved   whether endpoints can prove by themselves to be ready; else that list is taken to be complete as
+     *                      of the start, since nothing could be sent at all
      */
-    public static ListLease asked(long now, long askEveryNs, boolean canBeProved) {
-        long length = Math.min(TOLD_WITHIN_NS, PAUSES_AFTER_FAILURE * askEveryNs);
-        return new ListLease(now, length, length, length, canBeProved);
+    public static ListLease asked(long now, long askEveryNs, long longestCallNs, boolean canBeProved) {
+        long bindsFor = askEveryNs > longestCallNs ? PAUSES_AFTER_FAILURE * askEveryNs : askEveryNs;
+        long unwatched = Math.min(TOLD_WITHIN_NS, bindsFor);
+        return new ListLease(now, TOLD_WITHIN_NS, unwatched, unwatched, canBeProved);
     }
 
     /**
@@ -67,13 +69,16 @@
     }
 
     /**
-     * The watch has ended, or what it tells is no longer what counts.
+     * The watch has ended, or what it tells is no longer what counts. Says nothing where there was none.
      *
      * @param bySilence whether it had fallen silent: what it missed counts as told from its silence on, reachable or not
      */
     public void watchEnded(long now, boolean bySilence) {
-        unwatchedSince = now;
+        if (!watched) {
+            return;
+        }
         watched = false;
+        unwatchedSince = now;
         endedBySilence = bySilence;
         if (unwatchedLengthNs == 0) {
             completeAt = now; // an agent tells no more than its watch did, as long as that was open
--- a/decision/src/main/java/streamproxy/decision/Routing.java
+++ b/decision/src/main/java/streamproxy/decision/Routing.java
@@ -94,6 +94,11 @@
             require(!classes.isEmpty(), "classes");
             require(gateways > 0 && me >= 0 && me < gateways, "me, gateways");
         }
+
+        /** The same for a gateway that hears of the list only by asking for it. */
+        public Settings askingForList() {
+            return new Settings(me, gateways, zone, classes, tenants, overShareWorth, reports, true, rules, limits, prices);
+        }
     }
 
     /** One line of the replica list; {@code bornNs} is 0 for a replica that has run for long. */
--- a/decision/src/test/java/streamproxy/decision/ListLeaseTest.java
+++ b/decision/src/test/java/streamproxy/decision/ListLeaseTest.java
@@ -1,7 +1,6 @@
 package streamproxy.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static streamproxy.decision.Rig.MS;
 import static streamproxy.decision.Rig.S;
 
@@ -13,8 +12,9 @@
 class ListLeaseTest {
     private static final long START = 1_000 * S;
     private static final long ASK_EVERY = 10 * S;
+    private static final long CALL = 2_500 * MS;
 
-    private static ListLease asked() { return ListLease.asked(START, ASK_EVERY, true); }
+    private static ListLease asked() { return ListLease.asked(START, ASK_EVERY, CALL, true); }
 
     @Test void aListOfUnknownAgeBindsNotAtAll() {
         assertEquals(START, asked().endsAt());
@@ -22,7 +22,7 @@
     }
 
     @Test void whereNothingCanBeProvedTheConfiguredListBindsFromTheStart() {
-        assertEquals(START + 6 * S, ListLease.asked(START, ASK_EVERY, false).endsAt());
+        assertEquals(START + 6 * S, ListLease.asked(START, ASK_EVERY, CALL, false).endsAt());
     }
 
     @Test void eachConfirmationRenewsItAndAnOlderOneTakesNothingBack() {
@@ -62,12 +62,29 @@
         assertEquals(START + 18 * S, lease.endsAt());
     }
 
-    /** After a failed call a list binds for four times the settings' pause, which may be less than 6 s. */
-    @Property(seed = "38") void itIsNeverLongerThanTheSettingsAllow(@ForAll @LongRange(min = 1, max = 20_000) long askEveryMs) {
-        ListLease lease = ListLease.asked(START, askEveryMs * MS, true);
-        lease.confirmed(START);
-        assertTrue(lease.endsAt() - START <= Math.min(6 * S, 4 * askEveryMs * MS));
-        assertEquals(lease.endsAt() - START, lease.provenForNs());
+    /**
+     * Without a watch a list binds for the settings' pause from the last call, four times as long once that has failed, and never
+     * for more than 6 s; with one, whatever the pause, for 6 s from its last line.
+     */
+    @Property(seed = "38") void withoutAWatchItIsNeverLongerThanTheSettingsAllow(@ForAll @LongRange(min = 1, max = 20_000) long askEveryMs) {
+        ListLease lease = ListLease.asked(START, askEveryMs * MS, CALL, true);
+        lease.confirmed(START + S);
+        assertEquals(START + 7 * S, lease.endsAt());
+        lease.watchEnded(START + 2 * S, false);
+        long most = Math.min(6 * S, (askEveryMs * MS > CALL ? 4 : 1) * askEveryMs * MS);
+        assertEquals(START + S + most, lease.endsAt());
+        assertEquals(most, lease.provenForNs());
+    }
+
+    /** Each call that fails behind a watch says no more of the watch: what was proved since it ended goes on counting. */
+    @Test void furtherFailuresTakeNoProofsBack() {
+        ListLease lease = asked();
+        lease.confirmed(START + 3 * S);
+        lease.watchEnded(START + 4 * S, true);
+        lease.watchEnded(START + 6 * S, false);
+        assertEquals(START + 4 * S, lease.provenSince());
+        lease.refused(START + 7 * S);
+        assertEquals(START + 9 * S, lease.endsAt(), "it was silence that ended it");
     }
 
     /** Where lists are pushed, what the agent has counts as told at once where no watch is open. */
--- a/router/src/main/java/streamproxy/program/Lifecycle.java
+++ b/router/src/main/java/streamproxy/program/Lifecycle.java
@@ -81,6 +81,11 @@
         return true;
     }
 
+    /**
+     * The grace for new requests is over: the process may be killed before a request that comes now has its whole answer.
+     */
+    public boolean finishing() { return phase().compareTo(Phase.LEAVING) > 0; }
+
     /** Answers close their connections from now on. */
     public boolean leaving() { return quiesced || phase().compareTo(Phase.RELOADING) > 0; }
 }
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -102,7 +102,7 @@
                 lease(settings));
         classes.set(classes(text, settings, operator));
         clients = new ClientConnections(new ClientConnections.Desk(module, clock, classes, text.deployment().tenants(), bodyBytes,
-                new RecentRequestIds(), quiet, timers, () -> lifecycle.ready() && module.knowsBoxes(), lifecycle::leaving,
+                new RecentRequestIds(), quiet, timers, () -> lifecycle.ready() && module.knowsBoxes(), lifecycle::leaving, lifecycle::finishing,
                 new RetryAfterSchedule(config.seed()), may.retryAfter() ? may.maxRetryAfterNs() : 0, recording.records(), heldBytes),
                 limits);
         listener = new Listener(config.listen(), clients);
@@ -123,7 +123,7 @@
 
     private static ListLease lease(Routing.Settings settings) {
         boolean probes = settings.limits().probes();
-        return settings.listOnRequest() ? ListLease.asked(System.nanoTime(), settings.rules().askEveryNs(), probes)
+        return settings.listOnRequest() ? ListLease.asked(System.nanoTime(), settings.rules().askEveryNs(), ServiceDiscovery.ANSWER, probes)
                 : ListLease.pushed(System.nanoTime(), settings.rules().stopSendingWithinNs(), probes);
     }
 
--- a/router/src/main/java/streamproxy/routing/ClientConnections.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnections.java
@@ -26,12 +26,14 @@
      * What all clients' connections of the program share.
      *
      * @param classes        those in force, which SIGHUP may change
+     * @param leaving        whether answers are to close their connections
+     * @param finishing      whether requests come too late to be served, and are refused
      * @param heldBytes      what all answers together may hold for clients that are slow to read
      * @param records        whom to tell what became of requests
      * @param comeBackMostNs the longest wait that clients heed, in nanoseconds; 0 where they are told none
      */
     public record Desk(ModuleActor module, Clock clock, AtomicReference<Classes> classes, List<String> tenants, Budget bodyBytes,
-            RecentRequestIds taken, QuietConnections quiet, Timers timers, BooleanSupplier ready, BooleanSupplier leaving,
+            RecentRequestIds taken, QuietConnections quiet, Timers timers, BooleanSupplier ready, BooleanSupplier leaving, BooleanSupplier finishing,
             RetryAfterSchedule comeBack, long comeBackMostNs, Records records, Budget heldBytes) {
         static String retryAfter(long ns) { return "Retry-After: " + String.format(Locale.ROOT, "%.3f", ns / SECOND); }
     }
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -178,6 +178,12 @@
         if (!isWhole()) {
             return sayNoRoom(); // given up for others meanwhile
         }
+        if (desk.finishing().getAsBoolean()) {
+            // On a connection that stayed open: the process may be killed before a replica has answered.
+            desk.records().turnedAway(prompted, "finishing");
+            Logger.info("request {} came after the grace of the shutdown and is refused", prompted.id());
+            return say(503, "leaving", head, at.later());
+        }
         if (!desk.taken().add(prompted.id())) {
             desk.records().turnedAway(prompted, "taken_before");
             throw new BadMessage(409, "Req-Id is taken"); // a box would see a second copy of that request
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -118,7 +118,7 @@
         this.clock = clock;
         this.boxes = boxes;
         deployment = text.deployment();
-        settings = text.settings();
+        settings = text.settings().askingForList(); // also where an agent pushes it: the watch of that agent is how it is heard
         now = clock.now();
         wheel = new TimerWheel(TICK_SHIFT, now);
         policy = new Policy(settings, seed, now, this, retries);
@@ -236,8 +236,8 @@
         } else if (message instanceof Granted m) {
             policy.on(now, m.granted);
         } else if (message instanceof Retuned m) {
-            settings = m.settings;
-            policy.retune(m.settings);
+            settings = m.settings.askingForList();
+            policy.retune(settings);
             Logger.info("settings told anew: classes {}, attempts {}", m.settings.classes().stream().map(c -> c.name()).toList(),
                     m.settings.limits().maxAttempts());
         }
--- a/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
+++ b/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
@@ -72,7 +72,7 @@
      * those who waited for 2 s. It works on what was given up all the same: a hundred routers that gave up after 1.5 s, and asked
      * again within as long, had no answer between them for as long as they asked, since all that was answered had been given up.
      */
-    static final long ANSWER = 2_500_000_000L;
+    public static final long ANSWER = 2_500_000_000L;
     /**
      * The same for the first call behind a watch that brought something: the watch's silence has taken half of the time. With
      * this for all calls, and shorter pauses, the standing test failed (drain on herd+mass, 6 times).
@@ -312,13 +312,11 @@
 
     /** What a call's end says of how long the list binds. */
     private void noteForLease(Call call, Exception why) {
-        long now = System.nanoTime();
-        if (call.watching && call.alive) {
-            lease.watchEnded(now, why instanceof SocketTimeoutException);
-        } else if (why instanceof ConnectException && REFUSED.equals(why.getMessage())) {
+        if (call == watch) {
+            lease.watchEnded(System.nanoTime(), call.alive && why instanceof SocketTimeoutException);
+        }
+        if (why instanceof ConnectException && REFUSED.equals(why.getMessage())) {
             lease.refused(call.beganAt);
-        } else {
-            return;
         }
         module.listLease(lease);
     }
@@ -326,10 +324,10 @@
     private void failed(Call call, Exception why) {
         former = call == former ? null : former; // it was to end anyway
         if (call == watch || !call.watching && call.at.equals(discovery)) {
+            noteForLease(call, why);
             watch = call == watch ? null : watch;
             soon = call.watching && call.alive;
             shared.failed();
-            noteForLease(call, why);
             module.listNews(ListForm.FAILED, List.of(), List.of());
         }
     }
--- a/router/src/test/java/streamproxy/routing/ExchangeTest.java
+++ b/router/src/test/java/streamproxy/routing/ExchangeTest.java
@@ -65,7 +65,7 @@
                 new Budget(10), clock, quiet, () -> limits, new Watchdog(Records.NONE))));
         listener = new Listener(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), new ClientConnections(
                 new ClientConnections.Desk(module, clock, classes, List.of(), new Budget(1 << 20), new RecentRequestIds(), quiet, timers,
-                        () -> true, () -> false, new RetryAfterSchedule(1), 0, Records.NONE, new Budget(1 << 20)), limits));
+                        () -> true, () -> false, () -> false, new RetryAfterSchedule(1), 0, Records.NONE, new Budget(1 << 20)), limits));
         listener.start();
         client = new Socket(listener.address().getAddress(), listener.address().getPort());
         client.setSoTimeout(15_000);
--- a/router/src/test/java/streamproxy/stories/DiscoveryIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/DiscoveryIntegrationTest.java
@@ -137,4 +137,30 @@
         assertTrue("read " + size, size < 32 << 20); // a line of 1 MB, and what the sockets hold
         await("it serves", () -> ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
     }
+
+    /** What an agent has counts as told whether or not anybody watches it: without a watch no drain was ever heard of. */
+    @Test public void aListThatIsPushedIsWatchedFromTheStart() throws Exception {
+        ScriptedPeer draining = box(SERVES);
+        ScriptedPeer other = box(SERVES);
+        Deployment deployment = keep(Deployment.of(draining, other));
+        deployment.configureOtherwise(deployment.list.address(), "\"on_request\"", "\"pushed\"");
+        CountDownLatch drained = new CountDownLatch(1);
+        deployment.list.play(e -> {
+            e.streamHead();
+            e.chunk(Deployment.told(2, false, Deployment.entry("s-0", draining.address(), "draining")) + "\n");
+            drained.countDown();
+            e.awaitClose();
+        });
+        routerIn(deployment);
+        assertTrue("it is watched", drained.await(5, TimeUnit.SECONDS));
+        await("its drain is heeded", () -> {
+            int before = draining.attempts.size();
+            for (int i = 0; i < 20; i++) {
+                Caller caller = caller().send(Caller.prompt("p" + System.nanoTime(), "{}"));
+                assertTrue(caller.readTo("\n").startsWith("HTTP/1.1 200 "));
+                caller.close();
+            }
+            return draining.attempts.size() == before;
+        });
+    }
 }
--- a/router/src/test/java/streamproxy/stories/LeavingIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/LeavingIntegrationTest.java
@@ -152,4 +152,50 @@
         }
         assertEquals(10, box.attempts.size());
     }
+
+    /**
+     * A request that is whole only after the grace of the shutdown, written slowly or behind a stream that began before it, is
+     * refused at once: the process may be killed before a replica that hangs has answered.
+     */
+    @Test public void aRequestThatComesAfterTheGraceIsRefusedAtOnce() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        ScriptedPeer box = box(e -> {
+            if (e.head().contains("Req-Id: begun")) {
+                e.streamHead();
+                e.chunk(ONE);
+                assertTrue(go.await(30, TimeUnit.SECONDS));
+                e.write(END);
+            }
+            e.awaitClose(); // it hangs
+        });
+        routerOver(box);
+        Caller begun = caller();
+        begun.send(Caller.prompt("begun", "{}")).readTo(ONE + "\r\n");
+        String late = Caller.prompt("late", "{}");
+        Caller slow = caller().send(late.substring(0, late.length() - 1));
+        await("both are held", () -> router.clients().held() == 2);
+        Thread leaves = new Thread(() -> {
+            try {
+                router.leave();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        leaves.start();
+        await("the grace is over", () -> router.lifecycle().finishing());
+        long finishing = System.nanoTime();
+        slow.send(late.substring(late.length() - 1));
+        String refused = slow.readAll();
+        assertTrue(refused, refused.startsWith("HTTP/1.1 503 "));
+        begun.send(Caller.prompt("behind", "{}"));
+        go.countDown();
+        begun.readTo(END);
+        String behind = begun.readAll();
+        assertTrue(behind, behind.startsWith("HTTP/1.1 503 "));
+        // Well before the deadline of 2.5 s, at which each would be answered anyway.
+        assertTrue("at once", System.nanoTime() - finishing < TimeUnit.MILLISECONDS.toNanos(1_500));
+        assertEquals("nothing of them reaches a replica", 1, box.attempts.size());
+        leaves.join(TimeUnit.SECONDS.toMillis(15));
+        assertFalse("it has left", leaves.isAlive());
+    }
 }
--- a/router/src/test/java/streamproxy/stories/ProgramIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/ProgramIntegrationTest.java
@@ -4,7 +4,6 @@
 import static org.junit.Assert.assertNotEquals;
 import static org.junit.Assert.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -27,6 +26,9 @@
 
 /** Starts the program itself, as its users do, and speaks to it over sockets. */
 public class ProgramIntegrationTest {
+    private static final long ENDS_WITHIN_S = 60;
+    private static final String RELOADED = "SERVING after RELOADING";
+
     /** Starts the program, with {@code before} in front of the command that does. */
     private static String classPath;
 
@@ -65,6 +67,15 @@
         return builder.start();
     }
 
+    /** The end of a program that is to end by itself. */
+    private static int exitOf(Process program) throws InterruptedException {
+        if (!program.waitFor(ENDS_WITHIN_S, TimeUnit.SECONDS)) {
+            program.destroyForcibly();
+            throw new AssertionError("the program has not ended by itself");
+        }
+        return program.exitValue();
+    }
+
     private static Process start(Map<String, String> environment, String... command) throws IOException {
         return start(environment, List.of(), command);
     }
@@ -76,7 +87,9 @@
     }
 
     static void awaitReady(InetSocketAddress router, Process program) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(ENDS_WITHIN_S);
         while (program.isAlive()) {
+            assertTrue("the program is not ready in time", System.nanoTime() < until);
             try (Caller caller = new Caller(router)) {
                 String answer = caller.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").readTo("\n");
                 if (answer.startsWith("HTTP/1.1 200 ")) {
@@ -125,12 +138,12 @@
             Process program = start(deployment.environment, "serve");
             try (Caller caller = caller(at, program)) {
                 caller.send(Caller.prompt("a1", "{}")).readTo("hello\n\n\r\n");
-                BufferedReader log = program.errorReader();
+                ProgramLog log = new ProgramLog(program);
                 signal(program, "TERM");
-                awaitLine(log, "LEAVING after SERVING");
+                log.await("LEAVING after SERVING");
                 hangUp(program);
                 signal(program, "TERM");
-                awaitLine(log, "FINISHING after LEAVING");
+                log.await("FINISHING after LEAVING");
                 hangUp(program);
                 signal(program, "TERM");
                 go.countDown();
@@ -144,14 +157,6 @@
         }
     }
 
-    private static void awaitLine(BufferedReader log, String text) throws IOException {
-        String line = log.readLine();
-        while (line != null && !line.contains(text)) {
-            line = log.readLine();
-        }
-        assertTrue("the log ended without: " + text, line != null);
-    }
-
     /** A new process is started beside the running one on the same address, as in an upgrade; it used to exit with 3. */
     @Test public void aSecondProcessOnTheSameAddressServesBesideTheFirst() throws Exception {
         InetSocketAddress at = freeAddress();
@@ -214,7 +219,7 @@
             Process program = start(deployment.environment, "serve");
             try (Caller early = caller(at, program); Caller caller = caller(at, program)) {
                 early.send(Caller.prompt("a1", "{}")).readTo("hello\n\n\r\n");
-                BufferedReader log = program.errorReader();
+                ProgramLog log = new ProgramLog(program);
                 for (String why : List.of("malformed JSON", "Me: 1 is none of 1 routers")) {
                     if (why.startsWith("Me")) {
                         deployment.configureOtherwise(list.address(), "\"Me\":0", "\"Me\":1");
@@ -222,10 +227,7 @@
                         deployment.configure("{\"discovery\":");
                     }
                     hangUp(program);
-                    String line = log.readLine();
-                    while (!line.contains("the old configuration stays")) {
-                        line = log.readLine();
-                    }
+                    String line = log.await("the old configuration stays");
                     assertTrue(line, line.contains(why));
                 }
                 deployment.configureDiscovery(list.address());
@@ -247,8 +249,8 @@
         try (ScriptedPeer box = new ScriptedPeer(e -> { });
                 Deployment deployment = new Deployment("127.0.0.1:0", 40, box)) {
             Process program = start(deployment.environment, "serve");
+            assertNotEquals(0, exitOf(program));
             String said = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
-            assertNotEquals(0, program.waitFor());
             assertEquals("streamproxy: NODE_CONFIG: limits leave no room for connections\n", said);
         }
     }
@@ -319,17 +321,18 @@
             missing.put("NODE_CONFIG", "/nowhere.json");
             for (Map<String, String> environment : java.util.List.of(Map.<String, String>of(), broken, missing)) {
                 Process program = start(environment, "serve");
+                assertNotEquals(0, exitOf(program));
                 String said = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
-                assertNotEquals(0, program.waitFor());
                 assertTrue(said, said.startsWith("streamproxy: NODE_") && said.indexOf('\n') == said.length() - 1);
             }
         }
     }
 
     private static String said(Process program, int exit) throws Exception {
+        int ended = exitOf(program); // what it says is short, and fits in the pipes
         String out = new String(program.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         String err = new String(program.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertEquals(err, exit, program.waitFor());
+        assertEquals(err, exit, ended);
         return out + err;
     }
 
@@ -350,13 +353,6 @@
         }
     }
 
-    private static void awaitReloaded(BufferedReader log) throws IOException {
-        String line = log.readLine();
-        while (!line.contains("SERVING after RELOADING")) {
-            line = log.readLine();
-        }
-    }
-
     @Test public void onSighupTheOperatorsFileIsReadAgainAndABadOneChangesNothing() throws Exception {
         InetSocketAddress at = freeAddress();
         Path file = operator("[connections]\nclient_idle_s = 600\nclient_mute_s = 600\n");
@@ -368,20 +364,15 @@
                 early.send(Caller.prompt("a1", "{}")).readTo("0\r\n\r\n");
                 Files.writeString(file, "[connections]\nclient_idle = 0.1\n");
                 hangUp(program);
-                BufferedReader log = program.errorReader();
-                String line = log.readLine();
-                while (!line.contains("the old configuration stays")) {
-                    line = log.readLine();
-                }
+                ProgramLog log = new ProgramLog(program);
+                String line = log.await("the old configuration stays");
                 assertTrue(line, line.contains("line 2: [connections] client_idle: no such key"));
-                awaitReloaded(log);
+                log.await(RELOADED);
                 Files.writeString(file, "[connections]\nclient_idle_s = 0.1\nclient_mute_s = 600\n[streams]\nhold_kb = 32\n");
                 hangUp(program);
-                for (line = log.readLine(); !line.contains("reload: ");) {
-                    line = log.readLine();
-                }
+                line = log.await("reload: ");
                 assertTrue("what cannot change is said: " + line, line.contains("reload: [streams] is as before until a restart"));
-                awaitReloaded(log);
+                log.await(RELOADED);
                 try (Caller later = caller(at, program)) {
                     String answer = later.send(Caller.prompt("a2", "{}")).readAll(); // comes back with the close
                     assertTrue(answer, answer.startsWith("HTTP/1.1 200 ") && answer.endsWith("0\r\n\r\n"));
