Let refusals renew the lease only right behind a watch that worked

Cause, found on the last read: a refused connection renewed any list, also one of unknown age, or one that had lapsed while service discovery was up and crowded; what it had told by then counts as told all the same, and a drain would have been missed.

Change: a refusal renews the list only where nothing but refusals has come since a watch ended that worked; a call that was turned away, hung or reset ends that.

--- a/decision/src/main/java/streamproxy/decision/ListLease.java
+++ b/decision/src/main/java/streamproxy/decision/ListLease.java
@@ -24,7 +24,8 @@
     private long completeAt;
     private long unwatchedSince;
     private boolean watched;
-    private boolean endedBySilence;
+    /** Nothing but refusals has come since a watch ended that had told all until then. */
+    private boolean onlyRefused;
 
     private ListLease(long now, long lengthNs, long unwatchedLengthNs, long provenForNs, boolean canBeProved) {
         this.lengthNs = lengthNs;
@@ -64,7 +65,6 @@
         if (at - completeAt > 0) {
             completeAt = at;
         }
-        endedBySilence = false;
         watched = true;
     }
 
@@ -79,19 +79,25 @@
         }
         watched = false;
         unwatchedSince = now;
-        endedBySilence = bySilence;
+        onlyRefused = !bySilence;
         if (unwatchedLengthNs == 0) {
             completeAt = now; // an agent tells no more than its watch did, as long as that was open
         }
     }
 
-    /** Service discovery refused a connection at that moment: it is down, and could tell nothing before. */
+    /**
+     * Service discovery refused a connection at that moment: it is down. Right behind a watch that worked it has been so since,
+     * and the list is complete still; behind anything else it may have had changes before.
+     */
     public void refused(long at) {
-        if (!endedBySilence && at - completeAt > 0) {
+        if (onlyRefused && at - completeAt > 0) {
             completeAt = at;
         }
     }
 
+    /** A call ended without an answer and was not refused: service discovery may be up, and have changes. */
+    public void unanswered() { onlyRefused = false; }
+
     /** Attempts may begin on the list's word before this moment. */
     public long endsAt() { return completeAt + (watched ? lengthNs : unwatchedLengthNs); }
 
--- a/decision/src/test/java/streamproxy/decision/ListLeaseTest.java
+++ b/decision/src/test/java/streamproxy/decision/ListLeaseTest.java
@@ -106,4 +106,21 @@
         lease.watchEnded(START + 6 * S, true);
         assertEquals(START + 6 * S, lease.endsAt());
     }
+
+    /** It may have had changes while it was up and crowded; that it is down now takes none of them back. */
+    @Test void behindACallThatWasTurnedAwayARefusalRenewsNothing() {
+        ListLease lease = asked();
+        lease.confirmed(START + 3 * S);
+        lease.watchEnded(START + 4 * S, false);
+        lease.refused(START + 5 * S);
+        lease.unanswered();
+        lease.refused(START + 20 * S);
+        assertEquals(START + 11 * S, lease.endsAt());
+    }
+
+    @Test void aRefusalSaysNothingOfAListOfUnknownAge() {
+        ListLease lease = asked();
+        lease.refused(START + S);
+        assertEquals(START, lease.endsAt());
+    }
 }
--- a/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
+++ b/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
@@ -317,6 +317,8 @@
         }
         if (why instanceof ConnectException && REFUSED.equals(why.getMessage())) {
             lease.refused(call.beganAt);
+        } else if (!call.alive) {
+            lease.unanswered();
         }
         module.listLease(lease);
     }
