Log drains, operators' refused calls, and why clients' connections end

Change: a drain's report (what is held at its beginning, after 1, 2, 4 s, and when the last connection ended), counters of connections' ends by reason, lines for refused and partial operators' calls and for where operators are listened to, and how long a resumed router was quiesced.

--- a/router/src/main/java/streamproxy/program/Lifecycle.java
+++ b/router/src/main/java/streamproxy/program/Lifecycle.java
@@ -1,5 +1,6 @@
 package streamproxy.program;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.tinylog.Logger;
 
@@ -14,6 +15,7 @@
     private final BiConsumer<Phase, Phase> told;
     private Phase phase = Phase.STARTING;
     private volatile boolean quiesced;
+    private volatile long quiescedAt;
 
     public Lifecycle() { this((phase, after) -> { }); }
 
@@ -75,7 +77,13 @@
             return false;
         }
         if (quiesced != away) {
-            Logger.info(away ? "quiesced: clients are sent away" : "resumed: clients come again");
+            long now = System.nanoTime();
+            if (away) {
+                Logger.info("quiesced: clients are sent away");
+                quiescedAt = now;
+            } else {
+                Logger.info("resumed: clients come again, {} ms after they were sent away", TimeUnit.NANOSECONDS.toMillis(now - quiescedAt));
+            }
         }
         quiesced = away;
         return true;
--- a/router/src/main/java/streamproxy/program/OperatorCalls.java
+++ b/router/src/main/java/streamproxy/program/OperatorCalls.java
@@ -57,7 +57,10 @@
         listener = new Listener(at, this);
     }
 
-    void start() { listener.start(); }
+    void start() throws IOException {
+        Logger.info("operators are listened to at {}", listener.address());
+        listener.start();
+    }
 
     InetSocketAddress address() throws IOException { return listener.address(); }
 
@@ -97,8 +100,10 @@
                 reader.body(head, by); // read to its end, so that the close does not reset the answer
                 answer(head, writer);
             } catch (BadMessage e) {
+                Logger.info("operator: a call from {} is refused with {}: {}", connection.from(), e.status(), e.getMessage());
                 writer.answer(e.status(), e.getMessage(), true);
             } catch (SocketTimeoutException e) {
+                Logger.info("operator: a call from {} is not whole after {} ms", connection.from(), WHOLE_MS);
                 writer.answer(408, "the call is not whole", true);
             }
         } catch (IOException e) {
@@ -115,8 +120,10 @@
             default -> fleet == null ? null : head.method();
         };
         if (method == null) {
+            Logger.info("operator: {} {} is refused: no such call", head.method(), path);
             writer.answer(404, "no such call", true);
         } else if (!method.equals(head.method())) {
+            Logger.info("operator: {} {} is refused: only {}", head.method(), path, method);
             writer.answer(405, "only " + method, true, "Allow: " + method);
         } else if (fleet != null) {
             writer.answer(fleet.status(), fleet.json(), true);
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -180,7 +180,7 @@
 
     private static long heap() { return Runtime.getRuntime().maxMemory(); }
 
-    public void start() {
+    public void start() throws IOException {
         recording.start();
         list.startFrom(known, watchdog);
         module.start(watchdog);
--- a/router/src/main/java/streamproxy/routing/ClientConnection.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnection.java
@@ -65,7 +65,7 @@
             connection.endReading();
             all.ended(this, watch);
         } else {
-            end();
+            end(CloseReason.EVICTED);
         }
         return true;
     }
@@ -83,7 +83,7 @@
         }
         phase = Phase.READING;
         try {
-            Exchange exchange = new Exchange(this, connection, all.desk());
+            Exchange exchange = new Exchange(this, connection, all);
             Threads.start("client", exchange::serve);
         } catch (OutOfMemoryError e) {
             Logger.warn(e, "no thread for a client's request");
@@ -95,16 +95,18 @@
         if (!PHASE.compareAndSet(this, Phase.WAITING, Phase.OVER)) {
             return;
         }
+        CloseReason reason = all.desk().leaving().getAsBoolean() ? CloseReason.DRAINED : CloseReason.IDLE_ENDED;
         if (served) {
-            linger(); // a request may be coming at this moment: its client finds the end, and no reset, and sends it again
+            linger(reason); // a request may be coming at this moment: its client finds the end, and no reset, and sends it again
         } else {
-            end();
+            end(reason);
         }
     }
 
     /** Says at once that there is no room, and when to come back, without a thread. */
     void turnAway() {
         phase = Phase.OVER;
+        told(CloseReason.NO_ROOM);
         all.desk().records().turnedAway(null, "no_room");
         all.linger(this, all.tooMuch());
     }
@@ -148,17 +150,24 @@
     }
 
     /** The exchange has ended with an answer that the client shall have time to read. */
-    void linger() {
+    void linger(CloseReason reason) {
         phase = Phase.OVER;
+        told(reason);
         all.linger(this, ClientConnections.NOTHING);
     }
 
-    void end() {
+    void end(CloseReason reason) {
         phase = Phase.OVER;
+        told(reason);
         connection.close();
         all.ended(this, watch);
     }
 
+    private void told(CloseReason reason) {
+        all.closes(reason);
+        Logger.debug("a client's connection ends: {}", reason);
+    }
+
     private boolean enter(Phase from, Phase to) {
         long now = System.nanoTime();
         if (served || now - phaseAt > SOON) {
--- a/router/src/main/java/streamproxy/routing/ClientConnections.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnections.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import org.tinylog.Logger;
 import streamproxy.limits.Admission;
 import streamproxy.limits.RetryAfterSchedule;
@@ -49,12 +52,17 @@
     private static final long FULL_LOOK = 20 * MS;
     /** While finishing, a connection that has just come waits so long for its first request, which may be on its way. */
     static final long FIRST_REQUEST = 100 * MS;
+    /** So many exchanges are described in one line of the log. */
+    private static final int DESCRIBED_MOST = 8;
     /** While quiesced, a new connection waits for its request no longer than this. */
     private static final long QUIESCED_MUTE = 1_000 * MS;
 
     private final Desk desk;
     private final Admission admission;
     private final TokenBucket pace;
+    private final Set<Exchange> exchanges = ConcurrentHashMap.newKeySet();
+    private final CloseCounters closes = new CloseCounters();
+    private final DrainReport drainReport;
     private boolean finishing;
     private boolean quiesced;
 
@@ -62,6 +70,7 @@
         this.desk = desk;
         admission = new Admission(limits, SLOW);
         pace = new TokenBucket(limits.acceptsPerS(), System.nanoTime());
+        drainReport = new DrainReport(this::describeHeld);
     }
 
     Desk desk() { return desk; }
@@ -75,6 +84,22 @@
     /** How many are held, and how often room was short. */
     public synchronized Admission.Counts counts() { return admission.counts(); }
 
+    /** An exchange has begun, and is told of in the log while it holds up a drain. */
+    void begins(Exchange exchange) { exchanges.add(exchange); }
+
+    void isOver(Exchange exchange) { exchanges.remove(exchange); }
+
+    /** A connection ends for that reason. */
+    void closes(CloseReason reason) { closes.count(reason); }
+
+    private String describeHeld() {
+        Admission.Counts counts = counts();
+        long now = System.nanoTime();
+        String described = exchanges.stream().limit(DESCRIBED_MOST).map(exchange -> exchange.describe(now)).collect(Collectors.joining("; "));
+        return counts.held() + " connections are held, " + counts.active() + " with a request under way"
+                + (described.isEmpty() ? "" : ": " + described);
+    }
+
     // ---- The listener's gate ------------------------------------------------------------------------
 
     @Override public synchronized long waitNs() {
@@ -92,7 +117,10 @@
         } while (verdict == Admission.Newcomer.AFTER_ANOTHER && makeRoom());
         switch (verdict) {
             case TAKEN -> client.awaitRequest();
-            case ADDRESS_FULL -> connection.close();
+            case ADDRESS_FULL -> {
+                closes.count(CloseReason.NO_ROOM);
+                connection.close();
+            }
             default -> client.turnAway(); // the last place went to a request meanwhile
         }
     }
@@ -173,12 +201,16 @@
         if (watch != null) {
             desk.quiet.letGo(watch);
         }
+        boolean last;
         synchronized (this) {
-            admission.ends(client);
-            if (admission.held() == 0) {
+            last = admission.ends(client) && admission.held() == 0;
+            if (last) {
                 notifyAll();
             }
         }
+        if (last) {
+            drainReport.noneHeld(System.nanoTime());
+        }
     }
 
     /** The field that tells a client for which there is no room when to come back; none where it may not be told. */
@@ -200,7 +232,11 @@
             quiesced = away;
         }
         if (away) {
+            drainReport.begin("quiesce", System.nanoTime());
             desk.quiet.endAll(owner -> owner instanceof ClientConnection client && client.served());
+        } else {
+            drainReport.cancel();
+            Logger.info("clients' connections ended so far: {}", closes);
         }
     }
 
@@ -215,10 +251,13 @@
             finishing = true; // who rests from now on has no time left
         }
         long now = System.nanoTime();
+        drainReport.begin("shutdown", now);
         desk.quiet.endAll(owner -> owner instanceof ClientConnection client && !client.isNew(now));
         awaitNoneHeld(now + FIRST_REQUEST);
         desk.quiet.endAll(owner -> owner instanceof ClientConnection);
         awaitNoneHeld(Long.MAX_VALUE);
+        drainReport.noneHeld(System.nanoTime());
+        Logger.info("clients' connections ended: {}", closes);
     }
 
     private synchronized void awaitNoneHeld(long until) throws InterruptedException {
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -1,6 +1,8 @@
 package streamproxy.routing;
 
 import java.io.IOException;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import streamproxy.streams.StreamLimits;
 import streamproxy.protocol.BadMessage;
@@ -39,6 +41,9 @@
      */
     private enum Then { GO_ON, LINGER, END }
 
+    /** How far the exchange is, as the log tells it. */
+    private enum Stage { READING, WAITING, STREAMING, ENDED }
+
     private static final String PATH = "/v1/chat/completions";
     private static final long MS = 1_000_000L;
     /** How often the client's side is looked at while its request waits. */
@@ -50,6 +55,7 @@
     private static final String NO_ROOM = "too much at once";
 
     private final ClientConnection at;
+    private final ClientConnections all;
     private final Connection connection;
     private final ClientConnections.Desk desk;
     private final HttpReader reader;
@@ -58,6 +64,10 @@
     private final RequestReadTimeout whole;
     private volatile AnswerBuffer answer; // of the request that is served; null before
     private boolean begun; // some of its answer is written
+    private volatile Stage stage = Stage.READING; // for the log
+    private volatile long stageAt = System.nanoTime();
+    private volatile String requestId = "-"; // none was read yet
+    private CloseReason reason = CloseReason.ANSWERED;
     // Of the answer that is being given; this thread alone touches them.
     private Event.Final how;
     private long firstAt;
@@ -65,10 +75,11 @@
     private long bytes;
     private long retryNs;
 
-    Exchange(ClientConnection at, Connection connection, ClientConnections.Desk desk) {
+    Exchange(ClientConnection at, Connection connection, ClientConnections all) {
         this.at = at;
+        this.all = all;
         this.connection = connection;
-        this.desk = desk;
+        desk = all.desk();
         whole = new RequestReadTimeout(connection, desk.timers());
         reader = new HttpReader(connection);
         writer = new HttpWriter(connection);
@@ -77,16 +88,20 @@
     /** Serves the request that has begun to come, and those right behind it. */
     void serve() {
         Then then = Then.END;
+        all.begins(this);
         desk.timers().set(stall, STALL_LOOK);
         try {
             do {
                 then = Then.END; // whatever ends this request early ends the connection
+                reason = CloseReason.ANSWERED;
+                enters(Stage.READING);
                 then = serveOne();
                 at.answered();
             } while (then == Then.GO_ON && connection.holdsMore() && at.readsAgain());
         } catch (BadMessage e) {
             then = reject(e);
         } catch (IOException e) {
+            reason = CloseReason.CLIENT_LEFT;
             if (at.isSpared()) {
                 then = sayNoRoom();
             } else if (whole.isOver()) {
@@ -96,21 +111,35 @@
             }
         } catch (RuntimeException e) {
             Logger.error(e, "a request failed");
+            reason = CloseReason.FAILED;
             then = begun ? Then.END : reject(new BadMessage(500, "failed"));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
             desk.timers().end(stall);
             desk.timers().end(whole);
+            all.isOver(this);
+            enters(Stage.ENDED);
             switch (then) {
                 case GO_ON -> at.rest();
-                case LINGER -> at.linger();
-                default -> at.end();
+                case LINGER -> at.linger(reason);
+                default -> at.end(reason);
             }
         }
     }
 
+    private void enters(Stage next) {
+        stage = next;
+        stageAt = System.nanoTime();
+    }
+
+    /** The request that it serves and how far it is, for the log. */
+    String describe(long now) {
+        return "request " + requestId + " " + stage.name().toLowerCase(Locale.ROOT) + " for " + TimeUnit.NANOSECONDS.toMillis(now - stageAt) + " ms";
+    }
+
     private Then reject(BadMessage e) {
+        reason = CloseReason.BAD_REQUEST;
         try {
             writer.answer(e.status(), e.getMessage(), true, e.status() == 503 ? at.later() : new String[0]);
             return Then.LINGER;
@@ -125,6 +154,7 @@
         if (reject(new BadMessage(503, NO_ROOM)) == Then.LINGER) {
             connection.endWriting();
         }
+        reason = CloseReason.EVICTED;
         return Then.END;
     }
 
@@ -150,6 +180,7 @@
         }
         int size = reader.bodySize(head);
         PromptHeaders prompted = PromptHeaders.read(head);
+        requestId = prompted.id();
         Classes classes = desk.classes().get();
         int clazz = classes.names().indexOf(prompted.clazz());
         if (clazz < 0) {
@@ -184,6 +215,7 @@
             Logger.info("request {} came after the grace of the shutdown and is refused", prompted.id());
             return say(503, "leaving", head, at.later());
         }
+        enters(Stage.WAITING);
         if (!desk.taken().add(prompted.id())) {
             desk.records().turnedAway(prompted, "taken_before");
             throw new BadMessage(409, "Req-Id is taken"); // a box would see a second copy of that request
@@ -225,6 +257,7 @@
                 AnswerBuffer.Letter letter = held.next(lookAfter(request));
                 if (letter == null) {
                     if (held.hasLeft()) {
+                        reason = CloseReason.CLIENT_LEFT;
                         desk.module().left(request);
                         return Then.END;
                     }
@@ -240,6 +273,7 @@
                         } else {
                             closes = closing(head);
                             begun = true;
+                            enters(Stage.STREAMING);
                             writer.firstEvent(letter.event(), closes);
                             firstAt = desk.clock().now();
                         }
