--- /dev/null
+++ b/router/src/test/java/streamproxy/stories/QuiesceIntegrationTest.java
@@ -0,0 +1,143 @@
+package streamproxy.stories;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+import static streamproxy.stories.Waiting.await;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.Test;
+import org.junit.jupiter.api.Tag;
+import streamproxy.protocol.OperatorFile;
+import streamproxy.protocol.OperatorReader;
+
+/**
+ * A quiesced router is to hold no client's connection for long. Four seconds after the call operators find none that is idle,
+ * and none with a request of the last two: whatever comes later than two seconds after the call must not be begun.
+ */
+public class QuiesceIntegrationTest extends RouterTestBase {
+    private static final long EVENT_EVERY_MS = 50;
+    private static final String END = "0\r\n\r\n";
+    /** Requests that come so long after the call would still be under way when operators look. */
+    private static final long TOO_LATE_NS = TimeUnit.MILLISECONDS.toNanos(2_050);
+
+    /** The program itself over one replica, with an address for operators. */
+    private final class RouterProgram implements AutoCloseable {
+        private final Deployment deployment;
+        private final InetSocketAddress clients = freeAddress();
+        private final InetSocketAddress operators = freeAddress();
+        private final Process process;
+
+        RouterProgram(ScriptedPeer replica) throws Exception {
+            deployment = keep(new Deployment("127.0.0.1:" + clients.getPort(), 1024, replica));
+            deployment.configureOperator("127.0.0.1:" + operators.getPort());
+            process = ProgramIntegrationTest.start(deployment.environment, List.of(), "serve");
+            ProgramIntegrationTest.awaitReady(clients, process);
+        }
+
+        Caller client() throws IOException { return keep(new Caller(clients)); }
+
+        /** Calls it as an operator; the moment at which the answer was there. */
+        long call(String path) throws IOException { return QuiesceIntegrationTest.call(operators, path); }
+
+        @Override public void close() { process.destroyForcibly(); }
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    private static long call(InetSocketAddress operators, String path) throws IOException {
+        try (Caller caller = new Caller(operators)) {
+            String answer = caller.send("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").readAll();
+            assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+            return System.nanoTime();
+        }
+    }
+
+    /** The rule is one of real time, so its time has to pass. */
+    private static void awaitTooLate(long quiescedAt) throws Exception {
+        await("two seconds have passed", () -> System.nanoTime() - quiescedAt > TOO_LATE_NS);
+    }
+
+    /** A replica that streams events until it is told to end; other requests are served at once. */
+    private static ScriptedPeer.Script streamsUntil(CountDownLatch go) {
+        return e -> {
+            if (e.head().contains("Req-Id: begun")) {
+                e.streamHead();
+                do {
+                    e.chunk(ONE);
+                } while (!go.await(EVENT_EVERY_MS, TimeUnit.MILLISECONDS));
+                e.write(END);
+            } else {
+                SERVES.play(e);
+            }
+        };
+    }
+
+    /**
+     * A stream that began before the call announces no close. The request that its client writes right behind it is read
+     * late, and was served up to its own deadline.
+     */
+    @Tag("known-red")
+    @Test public void aRequestBehindAStreamBegunBeforeTheCallIsRefusedOnceItIsTooLate() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        ScriptedPeer replica = box(streamsUntil(go));
+        RouterProgram router = keep(new RouterProgram(replica));
+        Caller client = router.client();
+        String head = client.send(Caller.prompt("begun", "{}")).readTo(ONE + "\r\n");
+        assertFalse(head, head.contains("Connection: close"));
+        awaitTooLate(router.call("/admin/quiesce"));
+        client.send(Caller.prompt("behind", "{}"));
+        go.countDown();
+        client.readTo(END);
+        String refused = client.readAll();
+        assertTrue(refused, refused.startsWith("HTTP/1.1 503 ") && refused.contains("Connection: close"));
+        assertEquals("nothing of it reaches a replica", 1, replica.attempts.size());
+    }
+
+    /** A request that is written slowly, begun before the call, is whole only when it is too late. */
+    @Tag("known-red")
+    @Test public void aSlowRequestThatBecomesWholeTooLateIsRefused() throws Exception {
+        ScriptedPeer replica = box(SERVES);
+        RouterProgram router = keep(new RouterProgram(replica));
+        String request = Caller.prompt("slow", "{}");
+        Caller client = router.client().send(request.substring(0, request.length() - 1));
+        awaitTooLate(router.call("/admin/quiesce"));
+        String refused = client.send(request.substring(request.length() - 1)).readAll();
+        assertTrue(refused, refused.startsWith("HTTP/1.1 503 ") && refused.contains("Connection: close"));
+        assertEquals("nothing of it reaches a replica", 0, replica.attempts.size());
+    }
+
+    /** A connection that has never carried a request ends soon after the call, whatever patience the operator's file gives it. */
+    @Tag("known-red")
+    @Test public void aConnectionThatHasNeverAskedIsNotHeldAfterTheCall() throws Exception {
+        Deployment deployment = keep(Deployment.of(box(SERVES)));
+        deployment.configureOperator("127.0.0.1:0");
+        router = deployment.start(patientFile());
+        await("it serves", () -> router.lifecycle().ready());
+        Caller mute = caller();
+        await("it is held", () -> router.clients().held() == 1);
+        call(router.operatorAddress(), "/admin/quiesce");
+        assertEquals("", mute.readAll()); // waits for 15 s at most
+        await("nothing is held", () -> router.clients().held() == 0);
+    }
+
+    private static OperatorFile patientFile() throws Exception {
+        Path file = Files.createTempFile("operator", ".ini");
+        Files.writeString(file, "[connections]\nclient_idle_s = 600\nclient_mute_s = 600\n");
+        OperatorFile read = OperatorReader.read(file.toString());
+        Files.delete(file);
+        return read;
+    }
+}
