--- a/decision/src/main/java/streamproxy/lifecycle/DrainState.java
+++ b/decision/src/main/java/streamproxy/lifecycle/DrainState.java
@@ -49,11 +49,6 @@
      * 0.1 s and goes on sending for 0.2 s (DAYS.md); until then they may take their time with their first request.
      */
     public static final long NEW_CONNECTIONS_NS = TimeUnit.MILLISECONDS.toNanos(1_000);
-    /**
-     * Behind the grace of a shutdown a connection whose answer announced no close waits so long for a request that its client
-     * sends right behind it: that one is read and refused, where a close at once would cross it.
-     */
-    public static final long BEHIND_ANSWER_NS = TimeUnit.MILLISECONDS.toNanos(20);
     /** So long after an operator's call no request that has begun to come is waited for any longer. */
     public static final long READ_GRACE_NS = TimeUnit.MILLISECONDS.toNanos(3_000);
     /** A request that begins to come after that has so long to be whole, to be told that it is refused. */
@@ -102,7 +97,7 @@
             return sinceNs + usualNs;
         }
         if (served) {
-            return quiesced ? sinceNs : sinceNs + Math.min(usualNs, BEHIND_ANSWER_NS);
+            return sinceNs;
         }
         long wait = Math.min(usualNs, FIRST_REQUEST_NS);
         if (stage == Stage.FINISHING) {
