--- a/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Test;
+import org.junit.jupiter.api.Tag;
 import streamproxy.program.Lifecycle.Phase;
 import streamproxy.program.Router;
 
@@ -138,6 +139,20 @@
         assertTrue("the box's connection ends well before the deadline", ended.await(1500, TimeUnit.MILLISECONDS));
     }
 
+    /** Of two ids or classes one would be passed on, and it is not known which one the client meant. */
+    @Tag("known-red")
+    @Test public void aRequestWithAFieldGivenTwiceIsNotSentOn() throws Exception {
+        ScriptedPeer box = box(SERVES);
+        routerOver(box);
+        String good = Caller.prompt("a1", "{}");
+        for (String twice : new String[] {good.replace("Req-Id: a1", "Req-Id: a1\r\nReq-Id: b1"),
+            good.replace("Req-Kind: chat", "Req-Kind: chat\r\nreq-kind: chat")}) {
+            String answer = ask(twice);
+            assertTrue(answer, answer.startsWith("HTTP/1.1 400 "));
+        }
+        assertEquals("nothing reaches a replica", 0, box.attempts.size());
+    }
+
     @Test public void whatCannotBeServedGetsItsAnswerAndNoAttempt() throws Exception {
         ScriptedPeer box = box(SERVES);
         routerOver(box);
