--- a/router/src/main/java/streamproxy/routing/RequestReadTimeout.java
+++ b/router/src/main/java/streamproxy/routing/RequestReadTimeout.java
@@ -6,7 +6,8 @@
 
 /**
  * Ends the reading of a request that is not whole in time; a byte now and then must not hold a place for ever. A router
- * short of CPU may be the one that is late: bytes that wait to be read are read first.
+ * short of CPU may be the one that is late: bytes that wait are read first, those in the socket and those that the watch of
+ * quiet connections has read before the request's thread began.
  */
 final class RequestReadTimeout extends TimerWheel.Timer {
     /** How soon is looked again at a request whose time is over while bytes of it wait to be read. */
@@ -25,7 +26,7 @@
     boolean isOver() { return over; }
 
     @Override protected void due(long now) {
-        if (connection.hasArrived()) {
+        if (connection.holdsMore() || connection.hasArrived()) {
             timers.set(this, LOOK_AGAIN);
         } else {
             over = true;
--- a/router/src/main/java/streamproxy/transport/Connection.java
+++ b/router/src/main/java/streamproxy/transport/Connection.java
@@ -233,7 +233,10 @@
         }
     }
 
-    /** Whether bytes were read from the socket that nobody has taken; for the thread that reads. */
+    /**
+     * Whether bytes were read from the socket that nobody has taken. Exact for the thread that reads; another sees what was
+     * there when the connection was handed to that thread, or a later state.
+     */
     public boolean holdsMore() { return next < end; }
 
     /** Whether bytes have come that nobody has read yet; unlike {@link #look} it may be asked while another reads. */
--- a/router/src/test/java/streamproxy/stories/QuiesceIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/QuiesceIntegrationTest.java
@@ -145,6 +145,27 @@
         await("nothing is held", () -> router.clients().held() == 0);
     }
 
+    /**
+     * Behind the end of such a stream the connection does not rest: a request that is written once its exchange has ended finds
+     * the end, as does one that crosses a close, and reaches no replica.
+     */
+    @Test public void aRequestWrittenOnceTheStreamHasEndedReachesNoReplica() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        ScriptedPeer replica = box(streamsUntil(go));
+        Deployment deployment = keep(Deployment.of(replica));
+        deployment.configureOperator("127.0.0.1:0");
+        router = deployment.start(patientFile());
+        await("it serves", () -> router.lifecycle().ready());
+        Caller client = caller();
+        client.send(Caller.prompt("begun", "{}")).readTo(ONE + "\r\n");
+        call(router.operatorAddress(), "/admin/quiesce");
+        go.countDown();
+        client.readTo(END);
+        await("its exchange has ended", () -> router.clients().active() == 0);
+        assertEquals("the end, and no answer", "", client.send(Caller.prompt("next", "{}")).readAll());
+        assertEquals("nothing of it reaches a replica", 1, replica.attempts.size());
+    }
+
     /** Calls in quick succession: the last one binds, and a router that was resumed serves like a new one. */
     @Test public void aResumedRouterKeepsConnectionsAndServesAgain() throws Exception {
         Deployment deployment = keep(Deployment.of(box(SERVES)));
