Show requests that a quiesced router waits for and would refuse, known red

A request that begins to come behind a stream that ends late is waited for up to 0.5 s, one begun before up to 3 s after the call, although each is refused from 1.5 s on whatever its last byte brings.

--- a/decision/src/test/java/streamproxy/lifecycle/DrainStateTest.java
+++ b/decision/src/test/java/streamproxy/lifecycle/DrainStateTest.java
@@ -9,6 +9,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import streamproxy.lifecycle.DrainState.Refusal;
 import streamproxy.lifecycle.DrainState.Stage;
@@ -38,6 +39,18 @@
         assertTrue(DrainState.REQUEST_GRACE_NS < LOOK_NS - RECENT_NS, "none of the last two seconds when operators look");
     }
 
+    /** Once a request would be refused, nothing is gained by waiting for its last byte, and operators find it half written. */
+    @Tag("known-red")
+    @Test void aQuiescedProcessDoesNotWaitForRequestsThatItWouldRefuse() {
+        DrainState state = DrainState.SERVING.quiescedAt(NOW);
+        long usual = 5 * SECOND / 2;
+        for (long after = 0; after <= 5 * SECOND; after += SECOND / 10) {
+            long begun = NOW + after;
+            long latest = Math.max(DrainState.REQUEST_GRACE_NS, after + SECOND / 10);
+            assertTrue(state.readUntilNs(begun + usual, begun) - NOW <= latest, "begun " + after + " ns after the call");
+        }
+    }
+
     @Test void theGraceOfAShutdownTakesRequestsAndKeepsConnectionsThatRest() {
         DrainState state = DrainState.SERVING.at(Stage.LEAVING, NOW);
         assertTrue(state.closesAfterAnswer());
