--- a/decision/src/main/java/streamproxy/lifecycle/DrainState.java
+++ b/decision/src/main/java/streamproxy/lifecycle/DrainState.java
@@ -49,10 +49,11 @@
      * 0.1 s and goes on sending for 0.2 s (DAYS.md); until then they may take their time with their first request.
      */
     public static final long NEW_CONNECTIONS_NS = TimeUnit.MILLISECONDS.toNanos(1_000);
-    /** So long after an operator's call no request that has begun to come is waited for any longer. */
-    public static final long READ_GRACE_NS = TimeUnit.MILLISECONDS.toNanos(3_000);
-    /** A request that begins to come after that has so long to be whole, to be told that it is refused. */
-    public static final long LATE_READ_NS = TimeUnit.MILLISECONDS.toNanos(500);
+    /**
+     * A request whose first byte comes when it would be refused has so long to be whole. Its client is told the refusal either
+     * way; the wait only has it told behind the request's last byte where that is on its way already.
+     */
+    public static final long LATE_READ_NS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** The same process, which has entered another stage at that time. */
     public DrainState at(Stage next, long now) {
@@ -107,12 +108,15 @@
         return sinceNs + Math.max(wait, Math.min(usualNs, inTheOrdinaryWay));
     }
 
-    /** Until when a request is read that has begun to come, and would be read until {@code usualUntilNs} otherwise. */
+    /**
+     * Until when a request is read that has begun to come, and would be read until {@code usualUntilNs} otherwise. A quiesced
+     * router waits for no request that it would refuse once it is whole.
+     */
     public long readUntilNs(long usualUntilNs, long now) {
         if (!quiesced) {
             return usualUntilNs;
         }
-        long latest = Math.max(quiescedAtNs + READ_GRACE_NS - now, LATE_READ_NS);
+        long latest = Math.max(quiescedAtNs + REQUEST_GRACE_NS - now, LATE_READ_NS);
         return now + Math.min(usualUntilNs - now, latest);
     }
 }
