Log attempts that were written long after the last look at their client

A router now says so where over 50 ms lie between its last look at a client and the end of the write.

--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -5,6 +5,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -37,6 +38,8 @@
     /** The module's actor ends an attempt in time; this only keeps a thread from waiting for ever. */
     private static final long BEYOND = 1_000_000_000L;
     private static final double SECOND = 1e9;
+    /** A request whose last byte was written so long after the last look at its client may have begun for one that had left. */
+    private static final long HELD_UP = 50_000_000L;
 
     /** What to do with the connection: keep it for the next errand, close it, or nothing as its errand is not over. */
     private enum Then { KEEP, CLOSE, PAUSE }
@@ -167,6 +170,7 @@
                 box.module.over(attempt, Outcome.MOOT, 0, null);
                 return Then.KEEP;
             }
+            long lookedAt = box.clock.now();
             if (!attempt.request.client.isWaiting()) { // the last look before the first byte
                 if (!attempt.request.answered()) {
                     box.module.left(attempt.request); // first: else the module would try another box
@@ -178,6 +182,7 @@
             writer.passOn(request, to.getHostString() + ":" + to.getPort(), left / SECOND);
             written = true;
             attempt.writtenAt = box.clock.now();
+            noteHeldUp(attempt, attempt.writtenAt - lookedAt);
             HttpHead head = reader.answer(left + BEYOND);
             answered = true;
             LoadReport report = report(head.get("Srv-Load"));
@@ -203,6 +208,14 @@
         }
     }
 
+    /** Tells a router that was held up, or a replica that was slow to take the request, from a client that was not looked at. */
+    private void noteHeldUp(Attempt attempt, long tookNs) {
+        if (tookNs > HELD_UP) {
+            Logger.warn("request {} was written to {} {} ms after the last look at its client", attempt.request.prompt.id(), box.id,
+                    TimeUnit.NANOSECONDS.toMillis(tookNs));
+        }
+    }
+
     private static Outcome outcome(HttpHead head) {
         if ("1".equals(head.get("Srv-Declined"))) {
             return Outcome.FULL;
