Judge in the soak begun attempts and the time that replicas are told

Only whole attempts reached the audit; what a router called off half written was dropped unseen. It now reaches the audit, too, and must be the beginning of a client's request.

--- a/lab/src/main/java/streamproxy/lab/StandIns.java
+++ b/lab/src/main/java/streamproxy/lab/StandIns.java
@@ -1,6 +1,7 @@
 package streamproxy.lab;
 
 import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -47,6 +48,39 @@
     /** What a stand-in does with one request; true while the connection goes on. */
     public interface Script {
         boolean answer(Message message, Socket socket) throws IOException, InterruptedException;
+
+        /** A request came in part, and then its connection's end. */
+        default void unfinished(Message begun) { }
+    }
+
+    /** A box: it answers probes itself, and leaves prompts to its script. */
+    private final class Box implements Script {
+        private final List<Long> attempted;
+        private final Script prompts; // null: each gets the same stream
+
+        Box(List<Long> attempted, Script prompts) {
+            this.attempted = attempted;
+            this.prompts = prompts;
+        }
+
+        @Override public boolean answer(Message message, Socket socket) throws IOException, InterruptedException {
+            boolean probe = message.head().startsWith("GET ");
+            if (!probe) {
+                attempted.add(System.nanoTime());
+            }
+            if (!probe && prompts != null) {
+                return prompts.answer(message, socket);
+            }
+            socket.getOutputStream().write(probe ? LOAD : STREAM);
+            served.addAndGet(probe ? 0 : 1);
+            return true;
+        }
+
+        @Override public void unfinished(Message begun) {
+            if (prompts != null) {
+                prompts.unfinished(begun);
+            }
+        }
     }
 
     private final List<ServerSocket> boxes = new ArrayList<>();
@@ -72,7 +106,7 @@
             attempts.add(attempted);
             states.add("ready");
             boots.add(0L);
-            boxes.add(open((message, socket) -> box(message, socket, attempted, prompts)));
+            boxes.add(open(new Box(attempted, prompts)));
         }
         list = open(this::list);
     }
@@ -105,9 +139,9 @@
         try (socket) {
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            Message message = message(in);
+            Message message = message(in, script);
             while (message != null && script.answer(message, socket)) {
-                message = message(in);
+                message = message(in, script);
             }
         } catch (IOException e) {
             // the router has closed
@@ -116,33 +150,32 @@
         }
     }
 
-    /** Reads a head and the body that it tells of; null at the end. */
-    private static Message message(InputStream in) throws IOException {
+    /** Reads a head and the body that it tells of; null at the end, and where that comes early the script hears of it. */
+    private static Message message(InputStream in, Script script) throws IOException {
         StringBuilder head = new StringBuilder(256);
-        while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
-            int c = in.read();
-            if (c < 0) {
-                return null;
+        try {
+            while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
+                int c = in.read();
+                if (c < 0) {
+                    throw new EOFException("no whole head");
+                }
+                head.append((char) c);
             }
-            head.append((char) c);
+        } catch (IOException e) {
+            if (head.length() > 0) {
+                script.unfinished(new Message(head.toString(), new byte[0]));
+            }
+            return null;
         }
         int at = head.indexOf("Content-Length: ");
         int length = at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, head.indexOf("\r", at)));
         byte[] body = in.readNBytes(length);
-        return body.length < length ? null : new Message(head.toString(), body);
-    }
-
-    private boolean box(Message message, Socket socket, List<Long> attempted, Script prompts) throws IOException, InterruptedException {
-        boolean probe = message.head().startsWith("GET ");
-        if (!probe) {
-            attempted.add(System.nanoTime());
-        }
-        if (!probe && prompts != null) {
-            return prompts.answer(message, socket);
+        Message message = new Message(head.toString(), body);
+        if (body.length < length) {
+            script.unfinished(message);
+            return null;
         }
-        socket.getOutputStream().write(probe ? LOAD : STREAM);
-        served.addAndGet(probe ? 0 : 1);
-        return true;
+        return message;
     }
 
     private boolean list(Message message, Socket socket) throws IOException, InterruptedException {
--- a/lab/src/main/java/streamproxy/lab/soak/SoakBreak.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakBreak.java
@@ -10,6 +10,8 @@
         WRONG_ANSWER,
         /** A replica was sent bytes that are no client's request in its form. */
         FOREIGN_BYTES,
+        /** A replica was told of more time than its client had left. */
+        DEADLINE,
         /** An attempt began after its client had gone. */
         BEGUN_FOR_NOBODY,
         /** Operators found a connection or a yes 4 s after quiesce, or no yes 2 s after resume. */
--- a/lab/src/main/java/streamproxy/lab/soak/SoakReplicas.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakReplicas.java
@@ -18,8 +18,18 @@
  * break off. What an attempt meets is drawn from its request's id and number, so that a seed's plan meets the same.
  */
 final class SoakReplicas implements AutoCloseable {
-    /** An attempt as it arrived, whole. */
-    record Attempt(StandIns.Message message, long at) { }
+    /** An attempt as it arrived, whole or as far as the router wrote it. */
+    record Attempt(StandIns.Message message, long at, boolean whole) { }
+
+    /** What the stand-ins do with prompts. */
+    private final class Prompts implements StandIns.Script {
+        @Override public boolean answer(StandIns.Message message, Socket socket) throws IOException, InterruptedException {
+            attempts.add(new Attempt(message, System.nanoTime(), true));
+            return serve(message, socket);
+        }
+
+        @Override public void unfinished(StandIns.Message begun) { attempts.add(new Attempt(begun, System.nanoTime(), false)); }
+    }
 
     /** What a replica does with an attempt. */
     private enum Trouble { NONE, HANGS, FAILS, TURNED_AWAY, RESETS, BREAKS_OFF }
@@ -42,7 +52,7 @@
 
     SoakReplicas(long seed) throws IOException {
         this.seed = seed;
-        standIns = new StandIns(COUNT, this::serve);
+        standIns = new StandIns(COUNT, new Prompts());
     }
 
     StandIns standIns() { return standIns; }
@@ -58,7 +68,6 @@
     boolean brokeOff(String id) { return brokenOff.contains(id); }
 
     private boolean serve(StandIns.Message message, Socket socket) throws IOException, InterruptedException {
-        attempts.add(new Attempt(message, System.nanoTime()));
         String id = field(message.head(), "Req-Id");
         int attempt = tries.merge(String.valueOf(id), 1, Integer::sum);
         SplittableRandom random = new SplittableRandom(seed ^ String.valueOf(id).hashCode() * 31L + attempt);
--- a/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
+++ b/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -12,9 +11,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import streamproxy.lab.soak.SoakBreak.Rule;
 
 /** The judge finds each break that is planted, and excuses what the rules excuse. */
+@Timeout(30)
 class SoakAuditTest {
     private static final long DEADLINE_MS = 1_000;
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
@@ -46,12 +47,11 @@
         int at = known.indexOf("127.0.0.1:") + "127.0.0.1:".length();
         try (Socket socket = new Socket("127.0.0.1", Integer.parseInt(known.substring(at, known.indexOf('"', at))))) {
             socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+            socket.shutdownOutput(); // the end of what was not written whole
             while (replicas.attempts().isEmpty()) {
                 Thread.onSpinWait();
             }
-            InputStream in = socket.getInputStream();
-            socket.shutdownOutput();
-            in.readAllBytes();
+            socket.getInputStream().readAllBytes();
         }
     }
 
@@ -74,17 +74,44 @@
         assertEquals(List.of(Rule.WRONG_ANSWER), judged(request, 0));
     }
 
-    @Test void bytesThatNoClientSentAreABreak() throws Exception {
-        SoakRequest request = request(SoakRequest.End.REFUSED, -2 * SECOND, -SECOND);
-        String body = request.body;
-        reachesAReplica("POST " + request.target + " HTTP/1.1\r\nHost: x\r\nReq-Id: abc\r\nReq-Deadline: 1.000\r\nContent-Length: "
-                + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body);
-        assertEquals(List.of(), judged(request, 0), "as its client sent it");
-        replicas.attempts().clear();
-        reachesAReplica("POST " + request.target + " HTTP/1.1\r\nHost: x\r\nReq-Id: abc\r\nContent-Length: 2\r\n\r\n{}");
-        assertEquals(List.of(Rule.FOREIGN_BYTES), judged(request, 0), "another body");
+    /** A whole attempt of that request with another deadline or body. */
+    private static String attempt(SoakRequest request, String deadline, String body) {
+        return "POST " + request.target + " HTTP/1.1\r\nHost: x\r\nReq-Id: abc\r\nReq-Deadline: " + deadline + "\r\nContent-Length: "
+                + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body;
+    }
+
+    /** The request is sent anew at this moment, and those bytes reach a replica. */
+    private void assertJudged(List<Rule> expected, SoakRequest request, String bytes) throws Exception {
         replicas.attempts().clear();
-        reachesAReplica("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nReq-Id: other\r\nContent-Length: 2\r\n\r\n{}");
-        assertEquals(List.of(Rule.FOREIGN_BYTES), judged(request, 0), "an id that no client sent");
+        request.sentAt = System.nanoTime();
+        request.endedAt = request.sentAt + SECOND;
+        reachesAReplica(bytes);
+        assertEquals(expected, judged(request, 0), bytes);
+    }
+
+    @Test void bytesThatNoClientSentAreABreak() throws Exception {
+        SoakRequest request = request(SoakRequest.End.REFUSED, 0, SECOND);
+        assertJudged(List.of(), request, attempt(request, "0.100", request.body));
+        assertJudged(List.of(Rule.FOREIGN_BYTES), request, attempt(request, "0.100", "{}"));
+        assertJudged(List.of(Rule.FOREIGN_BYTES), request,
+                "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nReq-Id: other\r\nContent-Length: 2\r\n\r\n{}");
+    }
+
+    /** A router may call off what it has begun to write, but whatever it wrote must be the beginning of a client's request. */
+    @Test void theBeginningOfAnAttemptIsJudgedLikeAWholeOne() throws Exception {
+        SoakRequest request = request(SoakRequest.End.LEFT, 0, SECOND);
+        String whole = attempt(request, "0.100", request.body);
+        assertJudged(List.of(), request, whole.substring(0, 12));
+        assertJudged(List.of(), request, whole.substring(0, whole.indexOf("Req-Id")));
+        assertJudged(List.of(), request, whole.substring(0, whole.indexOf("\r\n\r\n") + 10));
+        assertJudged(List.of(Rule.FOREIGN_BYTES), request, "0\r\n\r\nPOST /v1");
+        String otherBody = "x".repeat(request.body.length());
+        assertJudged(List.of(Rule.FOREIGN_BYTES), request, attempt(request, "0.100", otherBody).substring(0, whole.indexOf("\r\n\r\n") + 10));
+    }
+
+    @Test void moreTimeThanItsClientHasLeftIsABreak() throws Exception {
+        SoakRequest request = request(SoakRequest.End.REFUSED, 0, SECOND);
+        assertJudged(List.of(), request, attempt(request, "0.100", request.body));
+        assertJudged(List.of(Rule.DEADLINE), request, attempt(request, "1.400", request.body));
     }
 }
