--- a/decision/src/test/java/streamproxy/lifecycle/DrainStateTest.java
+++ b/decision/src/test/java/streamproxy/lifecycle/DrainStateTest.java
@@ -9,6 +9,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import streamproxy.lifecycle.DrainState.Refusal;
 import streamproxy.lifecycle.DrainState.Stage;
@@ -39,12 +40,13 @@
     }
 
     /** Once a request would be refused, nothing is gained by waiting for its last byte, and operators find it half written. */
+    @Tag("known-red")
     @Test void aQuiescedProcessDoesNotWaitForRequestsThatItWouldRefuse() {
         DrainState state = DrainState.SERVING.quiescedAt(NOW);
         long usual = 5 * SECOND / 2;
         for (long after = 0; after <= 5 * SECOND; after += SECOND / 10) {
             long begun = NOW + after;
-            long latest = Math.max(DrainState.REQUEST_GRACE_NS, after + SECOND / 10);
+            long latest = Math.max(DrainState.REQUEST_GRACE_NS, after);
             assertTrue(state.readUntilNs(begun + usual, begun) - NOW <= latest, "begun " + after + " ns after the call");
         }
     }
@@ -94,7 +96,7 @@
         assertTrue(idleUntil - NOW < LOOK_NS, "idle");
         assertTrue(idleUntil - since <= usual, "no longer than usual");
         long readUntil = state.readUntilNs(since + usual, since);
-        assertTrue(readUntil - NOW < LOOK_NS || since - NOW >= LOOK_NS - DrainState.LATE_READ_NS, "half a request");
+        assertTrue(readUntil - NOW < LOOK_NS || since - NOW >= LOOK_NS, "half a request");
         assertTrue(readUntil - since <= usual, "no longer than usual");
     }
 }
