--- a/decision/src/main/java/streamproxy/lifecycle/DrainState.java
+++ b/decision/src/main/java/streamproxy/lifecycle/DrainState.java
@@ -49,6 +49,12 @@
      * 0.1 s and goes on sending for 0.2 s (DAYS.md); until then they may take their time with their first request.
      */
     public static final long NEW_CONNECTIONS_NS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    /**
+     * So long after an operator's call no request that has begun to come is waited for any longer. Until then a slow client hears
+     * its refusal behind its last byte: one that reads no answer before it has written all would find a reset in its place.
+     */
+    public static final long READ_GRACE_NS = TimeUnit.MILLISECONDS.toNanos(3_000);
+
     /** The same process, which has entered another stage at that time. */
     public DrainState at(Stage next, long now) {
         return new DrainState(next, stage == Stage.SERVING ? now : leavingAtNs, quiesced, quiescedAtNs);
@@ -77,9 +83,11 @@
         if (stage == Stage.FINISHING || stage == Stage.LEAVING && now - leavingAtNs >= LEAVING_GRACE_NS) {
             return Refusal.FINISHING;
         }
-        return quiesced && now - quiescedAtNs >= REQUEST_GRACE_NS ? Refusal.QUIESCED : null;
+        return isTooLateWhereQuiesced(now) ? Refusal.QUIESCED : null;
     }
 
+    private boolean isTooLateWhereQuiesced(long now) { return quiesced && now - quiescedAtNs >= REQUEST_GRACE_NS; }
+
     /**
      * Until when a connection is kept without a request.
      *
@@ -103,14 +111,14 @@
     }
 
     /**
-     * Until when a request is read that has begun to come, and would be read until {@code usualUntilNs} otherwise. A quiesced
-     * router waits for no request that it would refuse once it is whole; what has arrived by then is read all the same.
+     * Until when a request is read that begins to come now, and would be read until {@code usualUntilNs} otherwise. A quiesced
+     * router does not wait for one that it would refuse if it were whole now; what has arrived is read all the same.
      */
     public long readUntilNs(long usualUntilNs, long now) {
         if (!quiesced) {
             return usualUntilNs;
         }
-        long latest = Math.max(0, quiescedAtNs + REQUEST_GRACE_NS - now);
+        long latest = isTooLateWhereQuiesced(now) ? 0 : quiescedAtNs + READ_GRACE_NS - now;
         return now + Math.min(usualUntilNs - now, latest);
     }
 }
