Let the connection tests share the base's set-up, and wait for a shutdown in one place

The thread that leaves and the wait for it stood twice, the wait for readiness twice, the patient router of QuiesceIntegrationTest four times, and ConnectionIntegrationTest kept its own list of what it opened. No assertion changed; what was opened is closed in reverse order now, as ConnectionIntegrationTest had it.

--- a/router/src/test/java/streamproxy/stories/ConnectionIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/ConnectionIntegrationTest.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.junit.After;
 import org.junit.Test;
 import streamproxy.program.Router;
 import streamproxy.protocol.NodeConfig;
@@ -25,31 +24,15 @@
 import streamproxy.protocol.OperatorReader;
 
 /** What many connections, idle, mute, gone and back at once, do to those that ask. */
-public class ConnectionIntegrationTest {
+public class ConnectionIntegrationTest extends RouterTestBase {
     private static final String END = "0\r\n\r\n";
     private static final ScriptedPeer.Script SERVES = e -> e.stream("data: one\n\n", "data: [DONE]\n\n");
     /** A request may be refused or be the last of its connection where it is not whole so long after connecting. */
     private static final long READ_LIMIT_NS = TimeUnit.MILLISECONDS.toNanos(2_500);
     private static final String PATIENT = "client_idle_s = 600\nclient_mute_s = 600\n";
 
-    private final List<AutoCloseable> opened = new ArrayList<>();
-    private Router router;
     private Deployment deployment;
 
-    @After public void end() throws Exception {
-        for (int i = opened.size() - 1; i >= 0; i--) {
-            opened.get(i).close();
-        }
-        if (router != null) {
-            router.close();
-        }
-    }
-
-    private <T extends AutoCloseable> T keep(T it) {
-        opened.add(it);
-        return it;
-    }
-
     private static OperatorFile operator(String connections) throws Exception {
         Path file = Files.createTempFile("operator", ".ini");
         Files.writeString(file, "[connections]\n" + connections);
@@ -62,13 +45,7 @@
         ScriptedPeer box = keep(new ScriptedPeer(script));
         deployment = keep(new Deployment("127.0.0.1:0", descriptors, memoryMb, box));
         router = deployment.start(operator(connections));
-        await("ready", () -> {
-            try (Caller caller = new Caller(router.address())) {
-                return caller.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").readTo("\n").startsWith("HTTP/1.1 200 ");
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
+        awaitReady();
         return box;
     }
 
@@ -130,7 +107,7 @@
         assertAllReady(before.ask());
         List<Caller> taken = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
-            taken.add(keep(new Caller(router.address())).send(Caller.prompt("taken" + i, "{}")));
+            taken.add(caller().send(Caller.prompt("taken" + i, "{}")));
         }
         await("the box has them", () -> box.attempts.size() == 20);
         before.close();
@@ -148,9 +125,9 @@
     @Test public void aRequestWhosePlaceGoesToOthersWhileItIsReadIsAnswered() throws Exception {
         routerOver(1024, 4096, PATIENT + "clients_most = 1\n", SERVES);
         await("the place is free", () -> router.clients().held() == 0);
-        Caller slow = keep(new Caller(router.address())).send("POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\n");
+        Caller slow = caller().send("POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\n");
         await("it is read", () -> router.clients().active() == 1);
-        Caller next = keep(new Caller(router.address())); // accepted once the first has been coming for too long
+        Caller next = caller(); // accepted once the first has been coming for too long
         String answer = next.send(Caller.prompt("a1", "{}")).readTo(END);
         assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
         String told = slow.readAll();
@@ -183,12 +160,12 @@
         });
         List<Caller> taken = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            taken.add(keep(new Caller(router.address())).send(Caller.prompt("taken" + i, "{}")));
+            taken.add(caller().send(Caller.prompt("taken" + i, "{}")));
         }
         await("three are under way", () -> box.attempts.size() == 3);
         double longest = 0;
         for (int i = 0; i < 20; i++) {
-            String answer = keep(new Caller(router.address())).send(Caller.prompt("late" + i, "{}")).readAll();
+            String answer = caller().send(Caller.prompt("late" + i, "{}")).readAll();
             assertTrue(answer, answer.startsWith("HTTP/1.1 503 ") && answer.contains("\r\nRetry-After: "));
             int at = answer.indexOf("Retry-After: ") + 13;
             longest = Math.max(longest, Double.parseDouble(answer.substring(at, answer.indexOf('\r', at))));
@@ -201,7 +178,7 @@
             caller.readTo(END);
         }
         await("they have ended", () -> router.clients().active() == 0);
-        String answer = keep(new Caller(router.address())).send(Caller.prompt("next", "{}")).readTo(END);
+        String answer = caller().send(Caller.prompt("next", "{}")).readTo(END);
         assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
     }
 
@@ -341,18 +318,6 @@
         }
     }
 
-    private Thread leaves() {
-        Thread leaves = new Thread(() -> {
-            try {
-                router.leave();
-            } catch (IOException | InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        leaves.start();
-        return leaves;
-    }
-
     /** A front layer may restart while the router does: in its grace it serves who comes back, and loses none it took. */
     @Test public void whenAllReconnectDuringTheGraceNoRequestThatWasTakenIsLost() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
@@ -363,7 +328,7 @@
         Crowd before = crowd("127.0.0.1").connect(500);
         List<Caller> taken = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
-            taken.add(keep(new Caller(router.address())).send(Caller.prompt("taken" + i, "{}")));
+            taken.add(caller().send(Caller.prompt("taken" + i, "{}")));
         }
         await("the box has them", () -> box.attempts.size() == 20);
         Thread leaves = leaves();
@@ -373,7 +338,7 @@
         int refused = 0;
         for (int i = 0; i < 200; i++) {
             try {
-                back.add(keep(new Caller(router.address())).send(Caller.prompt("back" + i, "{}")));
+                back.add(caller().send(Caller.prompt("back" + i, "{}")));
             } catch (IOException e) {
                 refused++; // the grace has ended, the listener is closed: its client knows that nothing was taken
             }
@@ -395,8 +360,7 @@
                     || answer.startsWith("HTTP/1.1 503 "));
             served += answer.startsWith("HTTP/1.1 200 ") ? 1 : 0;
         }
-        leaves.join(TimeUnit.SECONDS.toMillis(15));
-        assertTrue("it has left", !leaves.isAlive());
+        assertLeft(leaves);
         assertEquals("none is held, " + served + " of those that came back were served, " + refused + " could not connect",
                 0, router.clients().held());
         assertEquals("and each that a box got was answered", 20 + served, box.attempts.size());
@@ -409,10 +373,10 @@
             assertTrue(go.await(30, TimeUnit.SECONDS));
             SERVES.play(e);
         });
-        Caller taken = keep(new Caller(router.address())).send(Caller.prompt("taken", "{}"));
-        Caller bytes = keep(new Caller(router.address()));
-        Caller flood = keep(new Caller(router.address()));
-        Caller half = keep(new Caller(router.address())).send(Caller.prompt("half", "{}").substring(0, 40));
+        Caller taken = caller().send(Caller.prompt("taken", "{}"));
+        Caller bytes = caller();
+        Caller flood = caller();
+        Caller half = caller().send(Caller.prompt("half", "{}").substring(0, 40));
         await("all are held, the box has one", () -> router.clients().held() == 4 && box.attempts.size() == 1);
         Thread leaves = leaves();
         await("the grace has begun", () -> !router.lifecycle().ready());
@@ -427,8 +391,7 @@
         String answer = taken.readAll();
         assertTrue(answer, answer.startsWith("HTTP/1.1 200 ") && answer.endsWith(END));
         assertStatus("408", half.readAll()); // not whole in its time
-        leaves.join(TimeUnit.SECONDS.toMillis(15));
-        assertTrue("it has left", !leaves.isAlive());
+        assertLeft(leaves);
         assertEquals(0, router.clients().held());
     }
 
@@ -446,7 +409,7 @@
         AtomicInteger reloads = new AtomicInteger();
         Thread reloading = startReloading(reloads, PATIENT + "clients_most = 1200\nactive_most = 1100\naccepts_per_s = 20000\n",
                 PATIENT + "clients_most = 2000\nactive_most = 1400\naccepts_per_s = 5000\n");
-        Caller busy = keep(new Caller(router.address()));
+        Caller busy = caller();
         before.close();
         await("their ends are noticed", () -> router.clients().held() <= 1);
         Crowd after = crowd("127.0.0.1");
@@ -499,7 +462,7 @@
             SERVES.play(e);
         });
         Crowd idle = crowd("127.0.0.1").connect(1000);
-        Caller caller = keep(new Caller(router.address())).send(Caller.prompt("a1", "{}"));
+        Caller caller = caller().send(Caller.prompt("a1", "{}"));
         await("the box has it", () -> box.attempts.size() == 1);
         long held = router.clients().held();
         Thread leaves = leaves();
@@ -508,8 +471,7 @@
         go.countDown();
         String answer = caller.readTo(END);
         assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
-        leaves.join(TimeUnit.SECONDS.toMillis(15));
-        assertTrue("it has left", !leaves.isAlive());
+        assertLeft(leaves);
         assertEquals(0, router.clients().held());
     }
 
@@ -524,7 +486,7 @@
         });
         List<Caller> callers = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
-            callers.add(keep(new Caller(router.address())).send(Caller.prompt("a" + i, "{}")));
+            callers.add(caller().send(Caller.prompt("a" + i, "{}")));
         }
         await("each has a connection", () -> under.get() == 100);
         go.countDown();
--- a/router/src/test/java/streamproxy/stories/LeavingIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/LeavingIntegrationTest.java
@@ -170,20 +170,7 @@
         String refused = slow.send(request.substring(request.length() - 1)).readAll();
         assertTrue(refused, refused.startsWith("HTTP/1.1 503 "));
         assertEquals("nothing of it reaches a replica", 0, box.attempts.size());
-        leaves.join(TimeUnit.SECONDS.toMillis(15));
-        assertFalse("it has left", leaves.isAlive());
-    }
-
-    private Thread leaves() {
-        Thread leaves = new Thread(() -> {
-            try {
-                router.leave();
-            } catch (IOException | InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        leaves.start();
-        return leaves;
+        assertLeft(leaves);
     }
 
     /**
@@ -221,7 +208,6 @@
         // Well before the deadline of 2.5 s, at which each would be answered anyway.
         assertTrue("at once", System.nanoTime() - finishing < TimeUnit.MILLISECONDS.toNanos(1_500));
         assertEquals("nothing of them reaches a replica", 1, box.attempts.size());
-        leaves.join(TimeUnit.SECONDS.toMillis(15));
-        assertFalse("it has left", leaves.isAlive());
+        assertLeft(leaves);
     }
 }
--- a/router/src/test/java/streamproxy/stories/QuiesceIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/QuiesceIntegrationTest.java
@@ -118,10 +118,7 @@
 
     /** A connection that has never carried a request ends soon after the call, whatever patience the operator's file gives it. */
     @Test public void aConnectionThatHasNeverAskedIsNotHeldAfterTheCall() throws Exception {
-        Deployment deployment = keep(Deployment.of(box(SERVES)));
-        deployment.configureOperator("127.0.0.1:0");
-        router = deployment.start(patientFile());
-        await("it serves", () -> router.lifecycle().ready());
+        patientRouterOver(box(SERVES));
         Caller mute = caller();
         await("it is held", () -> router.clients().held() == 1);
         call(router.operatorAddress(), "/admin/quiesce");
@@ -132,10 +129,7 @@
     /** The end of a stream begun before the call is the end of its connection, whatever patience served ones have. */
     @Test public void aConnectionWhoseStreamWasBegunBeforeTheCallEndsBehindIt() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        Deployment deployment = keep(Deployment.of(box(streamsUntil(go))));
-        deployment.configureOperator("127.0.0.1:0");
-        router = deployment.start(patientFile());
-        await("it serves", () -> router.lifecycle().ready());
+        patientRouterOver(box(streamsUntil(go)));
         Caller client = caller();
         client.send(Caller.prompt("begun", "{}")).readTo(ONE + "\r\n");
         call(router.operatorAddress(), "/admin/quiesce");
@@ -152,10 +146,7 @@
     @Test public void aRequestWrittenOnceTheStreamHasEndedReachesNoReplica() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         ScriptedPeer replica = box(streamsUntil(go));
-        Deployment deployment = keep(Deployment.of(replica));
-        deployment.configureOperator("127.0.0.1:0");
-        router = deployment.start(patientFile());
-        await("it serves", () -> router.lifecycle().ready());
+        patientRouterOver(replica);
         Caller client = caller();
         client.send(Caller.prompt("begun", "{}")).readTo(ONE + "\r\n");
         call(router.operatorAddress(), "/admin/quiesce");
@@ -168,10 +159,7 @@
 
     /** Calls in quick succession: the last one binds, and a router that was resumed serves like a new one. */
     @Test public void aResumedRouterKeepsConnectionsAndServesAgain() throws Exception {
-        Deployment deployment = keep(Deployment.of(box(SERVES)));
-        deployment.configureOperator("127.0.0.1:0");
-        router = deployment.start(patientFile());
-        await("it serves", () -> router.lifecycle().ready());
+        patientRouterOver(box(SERVES));
         for (int i = 0; i < 5; i++) {
             call(router.operatorAddress(), "/admin/quiesce");
             call(router.operatorAddress(), "/admin/quiesce");
@@ -184,6 +172,14 @@
         }
     }
 
+    /** A router in this process whose clients may rest for as long as they like, with an address for operators. */
+    private void patientRouterOver(ScriptedPeer replica) throws Exception {
+        Deployment deployment = keep(Deployment.of(replica));
+        deployment.configureOperator("127.0.0.1:0");
+        router = deployment.start(patientFile());
+        await("it serves", () -> router.lifecycle().ready());
+    }
+
     private static OperatorFile patientFile() throws Exception {
         Path file = Files.createTempFile("operator", ".ini");
         Files.writeString(file, "[connections]\nclient_idle_s = 600\nclient_mute_s = 600\n");
--- a/router/src/test/java/streamproxy/stories/RouterTestBase.java
+++ b/router/src/test/java/streamproxy/stories/RouterTestBase.java
@@ -1,5 +1,6 @@
 package streamproxy.stories;
 
+import static org.junit.Assert.assertFalse;
 import static streamproxy.stories.Waiting.await;
 
 import java.io.IOException;
@@ -15,12 +16,14 @@
     static final String DONE = "data: [DONE]\n\n";
     static final ScriptedPeer.Script SERVES = e -> e.stream(ONE, TWO, DONE);
 
+    private static final long LEAVING_MOST_MS = 15_000;
+
     private final List<AutoCloseable> opened = new ArrayList<>();
     Router router;
 
     @After public void closeAll() throws Exception {
-        for (AutoCloseable o : opened) {
-            o.close();
+        for (int i = opened.size() - 1; i >= 0; i--) {
+            opened.get(i).close();
         }
         if (router != null) {
             router.close();
@@ -38,10 +41,15 @@
 
     final Deployment routerIn(Deployment deployment) throws Exception {
         router = deployment.start();
-        await("ready", () -> ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
+        awaitReady();
         return deployment;
     }
 
+    /** Waits until the router tells a front that it is ready. */
+    final void awaitReady() throws Exception {
+        await("ready", () -> ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
+    }
+
     /** The first line of the answer, on a connection of its own. */
     final String ask(String request) {
         try (Caller caller = new Caller(router.address())) {
@@ -51,5 +59,24 @@
         }
     }
 
+    /** Has the router leave, on a thread of its own. */
+    final Thread leaves() {
+        Thread leaves = new Thread(() -> {
+            try {
+                router.leave();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        leaves.start();
+        return leaves;
+    }
+
+    /** Waits until the router has left. */
+    static void assertLeft(Thread leaves) throws InterruptedException {
+        leaves.join(LEAVING_MOST_MS);
+        assertFalse("it has left", leaves.isAlive());
+    }
+
     final Caller caller() throws IOException { return keep(new Caller(router.address())); }
 }
