Give the actors' tests one set-up, and the 200 descriptors' program one class

ExchangeTest and ReplicaIntegrationTest each had the settings, limits and what replicas share; two tests of ConnectionIntegrationTest started the same program by hand. No assertion changed.

--- /dev/null
+++ b/router/src/test/java/streamproxy/routing/ActorFixtures.java
@@ -0,0 +1,46 @@
+package streamproxy.routing;
+
+import streamproxy.decision.SettingsText;
+import streamproxy.limits.ConnectionLimits;
+import streamproxy.transport.Budget;
+import streamproxy.transport.QuietConnections;
+
+/** What actors of this package are tested with: a deployment's settings, limits, and what replicas share. */
+final class ActorFixtures {
+    static final SettingsText SETTINGS = new SettingsText("""
+            Balancers=1
+            Classes.count=1
+            Classes.0.Name=chat
+            Classes.0.GiveUp=4000000000
+            Classes.0.Idempotency=safe
+            Discovery=pushed
+            Guarantees.Fall=1000000000
+            Guarantees.RampTime=20000000000
+            Guarantees.StartCapacity=0.14
+            Guarantees.StopSendingWithin=250000000
+            Guarantees.TipMultiple=3.0
+            Limits.ConnectTimeout=1000000000
+            Limits.Keepalive=5000000000
+            Limits.MaxAttempts=3
+            Me=0
+            """);
+
+    private ActorFixtures() { }
+
+    /** Those of a usual machine, with so many connections to a replica and so many of them being made at a time; 0: as usual. */
+    static ConnectionLimits limits(int replicaMost, int connectingMost) throws ConnectionLimits.Impossible {
+        return ConnectionLimits.of(1024, 192, 48L << 20, new ConnectionLimits.Wishes(0, 0, 0, 0, replicaMost, connectingMost, 3, 2));
+    }
+
+    static QuietConnections startedWatch() throws Exception {
+        QuietConnections quiet = new QuietConnections();
+        quiet.start();
+        return quiet;
+    }
+
+    /** What replicas share that hold so many connections together. */
+    static Replicas.Desk replicas(Clock clock, QuietConnections quiet, ConnectionLimits limits, int allMost) {
+        return new Replicas.Desk(SETTINGS.deployment(), SETTINGS.reportLayout(), new Budget(allMost), clock, quiet, () -> limits,
+                new Watchdog(Records.NONE));
+    }
+}
--- a/router/src/test/java/streamproxy/routing/ExchangeTest.java
+++ b/router/src/test/java/streamproxy/routing/ExchangeTest.java
@@ -14,7 +14,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import streamproxy.decision.SettingsText;
 import streamproxy.lifecycle.DrainState;
 import streamproxy.limits.RetryAfterSchedule;
 import streamproxy.limits.ConnectionLimits;
@@ -28,23 +27,6 @@
 /** A request that was read has its one answer in time, whatever becomes of the module. */
 @Timeout(60)
 class ExchangeTest {
-    private static final String SETTINGS = """
-            Balancers=1
-            Classes.count=1
-            Classes.0.Name=chat
-            Classes.0.GiveUp=4000000000
-            Classes.0.Idempotency=safe
-            Discovery=pushed
-            Guarantees.Fall=1000000000
-            Guarantees.RampTime=20000000000
-            Guarantees.StartCapacity=0.14
-            Guarantees.StopSendingWithin=250000000
-            Guarantees.TipMultiple=3.0
-            Limits.ConnectTimeout=1000000000
-            Limits.Keepalive=5000000000
-            Limits.MaxAttempts=3
-            Me=0
-            """;
     private static final long SECOND = 1_000_000_000L;
 
     private final AtomicReference<Classes> classes = new AtomicReference<>(
@@ -56,14 +38,11 @@
     /** The module is never started: whatever it is told stays in its mailbox. */
     @BeforeEach void start() throws Exception {
         Clock clock = new Clock();
-        SettingsText text = new SettingsText(SETTINGS);
-        ConnectionLimits limits = ConnectionLimits.of(1024, 192, 48L << 20, new ConnectionLimits.Wishes(0, 0, 0, 0, 0, 0, 3, 2));
-        QuietConnections quiet = new QuietConnections();
-        quiet.start();
+        ConnectionLimits limits = ActorFixtures.limits(0, 0);
+        QuietConnections quiet = ActorFixtures.startedWatch();
         Timers timers = new Timers();
         timers.start();
-        module = new ModuleActor(text, 1, clock, new Replicas(new Replicas.Desk(text.deployment(), text.reportLayout(),
-                new Budget(10), clock, quiet, () -> limits, new Watchdog(Records.NONE))));
+        module = new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(ActorFixtures.replicas(clock, quiet, limits, 10)));
         listener = new Listener(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), new ClientConnections(
                 new ClientConnections.Desk(module, clock, classes, List.of(), new Budget(1 << 20), new RecentRequestIds(), quiet, timers,
                         () -> true, () -> DrainState.SERVING, new RetryAfterSchedule(1), 0, Records.NONE, new Budget(1 << 20)), limits));
--- a/router/src/test/java/streamproxy/routing/ReplicaIntegrationTest.java
+++ b/router/src/test/java/streamproxy/routing/ReplicaIntegrationTest.java
@@ -15,8 +15,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.junit.Test;
-import streamproxy.decision.SettingsText;
-import streamproxy.limits.ConnectionLimits;
 import streamproxy.protocol.EndpointEntry;
 import streamproxy.protocol.PassedOn;
 import streamproxy.protocol.PromptHeaders;
@@ -28,37 +26,14 @@
 /** A model box's actor by itself, with what cannot be timed from outside. */
 public class ReplicaIntegrationTest {
     private static final long SECOND = 1_000_000_000L;
-    private static final String SETTINGS = """
-            Balancers=1
-            Classes.count=1
-            Classes.0.GiveUp=4000000000
-            Classes.0.Idempotency=safe
-            Discovery=pushed
-            Guarantees.Fall=1000000000
-            Guarantees.RampTime=20000000000
-            Guarantees.StartCapacity=0.14
-            Guarantees.StopSendingWithin=250000000
-            Guarantees.TipMultiple=3.0
-            Limits.ConnectTimeout=1000000000
-            Limits.Keepalive=5000000000
-            Limits.MaxAttempts=3
-            Me=0
-            """;
-
     private final Clock clock = new Clock();
-    private final SettingsText text = new SettingsText(SETTINGS);
 
     private Replicas.Desk desk(int connectionsMost, int connectingMost) throws Exception {
         return desk(connectionsMost, connectingMost, 100);
     }
 
     private Replicas.Desk desk(int connectionsMost, int connectingMost, int allMost) throws Exception {
-        ConnectionLimits limits = ConnectionLimits.of(1024, 192, 48L << 20,
-                new ConnectionLimits.Wishes(0, 0, 0, 0, connectionsMost, connectingMost, 3, 2));
-        QuietConnections quiet = new QuietConnections();
-        quiet.start();
-        return new Replicas.Desk(text.deployment(), text.reportLayout(), new Budget(allMost), clock, quiet,
-                () -> limits, new Watchdog(Records.NONE));
+        return ActorFixtures.replicas(clock, ActorFixtures.startedWatch(), ActorFixtures.limits(connectionsMost, connectingMost), allMost);
     }
 
     private Attempt attempt(String id) { return attempt(id, () -> true); }
@@ -121,7 +96,7 @@
     @Test public void anIdleConnectionIsGivenUpBeforeAnotherBoxIsRefusedOne() throws Exception {
         try (ServerSocket one = server(5); ServerSocket two = server(5)) {
             Replicas.Desk desk = desk(0, 0, 1);
-            ModuleActor module = new ModuleActor(text, 1, clock, new Replicas(desk));
+            ModuleActor module = new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk));
             Replica first = box(desk, one, module);
             Replica second = box(desk, two, module);
             for (int i = 0; i < 4; i++) { // at first lately used, later resting
@@ -149,7 +124,7 @@
     @Test public void probesLeaveTheLastPlaceAtABoxToAttempts() throws Exception {
         try (ServerSocket server = server(5)) {
             Replicas.Desk desk = desk(2, 0, 100);
-            Replica box = box(desk, server, new ModuleActor(text, 1, clock, new Replicas(desk)));
+            Replica box = box(desk, server, new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk)));
             assertTrue(box.send(attempt("a1")));
             try (Socket first = server.accept()) {
                 assertTrue(box.probe());
@@ -169,7 +144,7 @@
     /** A box that closes idle connections early, and says nothing, would reset every later request on them. */
     @Test public void aBoxThatClosesKeptConnectionsEarlyHasThemKeptForLess() throws Exception {
         Replicas.Desk desk = desk(0, 0);
-        ModuleActor module = new ModuleActor(text, 1, clock, new Replicas(desk));
+        ModuleActor module = new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk));
         try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
             EndpointEntry entry = new EndpointEntry("s-1", (InetSocketAddress) server.getLocalSocketAddress(), "", "", 0, "ready", 1, 0);
             Replica box = new Replica(7, entry, desk, module);
@@ -207,7 +182,7 @@
     @Test public void aWaitingAttemptIsNotWrittenToABoxToldDrainingMeanwhile() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
             Replicas.Desk desk = desk(0, 0);
-            ModuleActor module = new ModuleActor(text, 1, clock, new Replicas(desk));
+            ModuleActor module = new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk));
             EndpointEntry entry = new EndpointEntry("s-1", (InetSocketAddress) server.getLocalSocketAddress(), "", "", 0, "ready", 1, 0);
             Replica box = new Replica(7, entry, desk, module);
             box.told(entry, true);
@@ -241,7 +216,7 @@
     private void assertPassedOver(Attempt waiting, Condition meanwhile) throws Exception {
         try (ServerSocket server = server(5)) {
             Replicas.Desk desk = desk(1, 0);
-            Replica box = box(desk, server, new ModuleActor(text, 1, clock, new Replicas(desk)));
+            Replica box = box(desk, server, new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk)));
             assertTrue(box.send(attempt("holds")) && box.send(waiting) && box.send(attempt("stays")));
             try (Socket only = server.accept()) {
                 assertTrue(request(only).contains("Req-Id: holds"));
@@ -271,7 +246,7 @@
     @Test public void aBrokenAttemptsConnectionIsClosedBeforeTheModuleHearsOfItsEnd() throws Exception {
         try (ServerSocket server = server(5)) {
             Replicas.Desk desk = desk(0, 0);
-            ModuleActor module = new ModuleActor(text, 1, clock, new Replicas(desk));
+            ModuleActor module = new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk));
             Attempt filling = attempt("fills the mailbox");
             while (module.taken(filling.request)) { // whoever tells the module something waits from now on
                 continue;
@@ -297,7 +272,7 @@
             server.setSoTimeout(10_000);
             server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
             Replicas.Desk desk = desk(0, 0);
-            Replica box = box(desk, server, new ModuleActor(text, 1, clock, new Replicas(desk)));
+            Replica box = box(desk, server, new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk)));
             Attempt attempt = attempt("a", () -> true, 4 * SECOND, size);
             assertTrue(box.send(attempt));
             try (Socket socket = server.accept()) {
@@ -331,7 +306,7 @@
     private boolean usesTheOneIdleForLonger() throws Exception {
         try (ServerSocket server = server(5)) {
             Replicas.Desk desk = desk(0, 0);
-            Replica box = box(desk, server, new ModuleActor(text, 1, clock, new Replicas(desk)));
+            Replica box = box(desk, server, new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk)));
             assertTrue(box.send(attempt("a")) && box.send(attempt("b")));
             try (Socket one = server.accept(); Socket two = server.accept()) {
                 turnDown(one);
@@ -359,7 +334,7 @@
     @Test public void anAttemptWhoseRestingConnectionEndsAsItsReplicaGoesIsOver() throws Exception {
         try (ServerSocket server = server(5); ServerSocket other = server(1)) {
             Replicas.Desk desk = desk(0, 0);
-            Replica box = box(desk, server, new ModuleActor(text, 1, clock, new Replicas(desk)));
+            Replica box = box(desk, server, new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk)));
             assertTrue(box.send(attempt("a")));
             CountDownLatch go = new CountDownLatch(1);
             try (Socket socket = server.accept(); Connection blocks = Connection.open(new Budget(1))) {
@@ -399,7 +374,7 @@
         // Two connections come up in a backlog of one, and the next handshakes get no answer.
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             Replicas.Desk desk = desk(0, 2);
-            ModuleActor module = new ModuleActor(text, 1, clock, new Replicas(desk));
+            ModuleActor module = new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk));
             Replica box = box(desk, server, module);
             for (int i = 0; i < 8; i++) {
                 assertTrue(box.send(attempt("a" + i)));
@@ -424,7 +399,7 @@
     @Test public void noMoreConnectionsAreHeldToABoxThanTheOperatorGrantsIt() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
             Replicas.Desk desk = desk(1, 0);
-            ModuleActor module = new ModuleActor(text, 1, clock, new Replicas(desk));
+            ModuleActor module = new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk));
             Replica box = box(desk, server, module);
             for (int i = 0; i < 8; i++) {
                 assertTrue(box.send(attempt("a" + i)));
--- a/router/src/test/java/streamproxy/stories/ConnectionIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/ConnectionIntegrationTest.java
@@ -229,74 +229,82 @@
         }
     }
 
+    /** The program itself, told of 2,048 descriptors where the system gives it 200. */
+    private final class ProgramWith200Descriptors implements AutoCloseable {
+        private final InetSocketAddress at;
+        private final Process process;
+
+        ProgramWith200Descriptors(Deployment deployment, int port) throws Exception {
+            at = new InetSocketAddress("127.0.0.1", port);
+            process = ProgramIntegrationTest.start(deployment.environment, List.of("sh", "-c", "ulimit -n 200; exec \"$@\"", "sh"), "serve");
+            keep((AutoCloseable) process::destroyForcibly); // also where it is never ready
+            ProgramIntegrationTest.awaitReady(at, process);
+        }
+
+        /** One more client that connects and says nothing. */
+        Socket connect() throws IOException {
+            Socket socket = keep(new Socket(at.getAddress(), at.getPort()));
+            socket.setSoTimeout(15_000);
+            return socket;
+        }
+
+        void assertServes(String id) throws IOException {
+            try (Caller caller = new Caller(at)) {
+                String answer = caller.send(Caller.prompt(id, "{}")).readTo(END);
+                assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+            }
+        }
+
+        @Override public void close() { process.destroyForcibly(); }
+    }
+
     private static int freePort() throws IOException {
         try (java.net.ServerSocket free = new java.net.ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return free.getLocalPort();
         }
     }
 
-    private static Process startWith200Descriptors(Deployment deployment) throws IOException {
-        return ProgramIntegrationTest.start(deployment.environment, List.of("sh", "-c", "ulimit -n 200; exec \"$@\"", "sh"), "serve");
-    }
-
     /** The system's limit may be lower than the platform says: idle connections go, and who asks is served. */
     @Test public void whereDescriptorsRunOutIdleConnectionsMakeRoom() throws Exception {
-        ScriptedPeer box = keep(new ScriptedPeer(SERVES));
         int port = freePort();
-        Deployment deployment = keep(new Deployment("127.0.0.1:" + port, 2048, 4096, box));
-        Process program = startWith200Descriptors(deployment);
-        InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
-        try {
-            ProgramIntegrationTest.awaitReady(at, program);
+        Deployment told = keep(new Deployment("127.0.0.1:" + port, 2048, 4096, box(SERVES)));
+        try (ProgramWith200Descriptors program = new ProgramWith200Descriptors(told, port)) {
             List<Socket> idle = new ArrayList<>();
             for (int i = 0; i < 400; i++) {
-                Socket socket = keep(new Socket("127.0.0.1", port));
-                socket.setSoTimeout(15_000);
+                Socket socket = program.connect();
                 socket.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
                 assertEquals("client " + i, 'H', socket.getInputStream().read());
                 idle.add(socket);
             }
-            try (Caller caller = new Caller(at)) {
-                String answer = caller.send(Caller.prompt("a1", "{}")).readTo(END);
-                assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
-            }
+            program.assertServes("a1");
             int closed = 0;
             for (Socket socket : idle) {
                 closed += endsSoon(socket) ? 1 : 0;
             }
             // 200 descriptors, a part of them the JVM's own: so many at least had to go, and not all of them.
             assertTrue("closed " + closed, closed >= 200 && closed < 400);
-            assertTrue(program.isAlive());
-        } finally {
-            program.destroyForcibly();
+            assertTrue(program.process.isAlive());
         }
     }
 
     /** Idle clients hold all that they may while the list's service is away: it is found again, and who asks is served. */
     @Test public void whileTheListsServiceIsAwayIdleClientsMayFillTheDescriptors() throws Exception {
-        ScriptedPeer drains = keep(new ScriptedPeer(SERVES));
-        ScriptedPeer stays = keep(new ScriptedPeer(SERVES));
+        ScriptedPeer drains = box(SERVES);
         int port = freePort();
-        Deployment deployment = keep(new Deployment("127.0.0.1:" + port, 2048, 4096, drains, stays));
-        deployment.list.play(e -> {
+        Deployment told = keep(new Deployment("127.0.0.1:" + port, 2048, 4096, drains, box(SERVES)));
+        told.list.play(e -> {
             e.socket().setSoLinger(true, 0);
             e.socket().close(); // away
         });
-        Process program = startWith200Descriptors(deployment);
-        InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
-        try {
-            ProgramIntegrationTest.awaitReady(at, program);
-            List<Socket> idle = new ArrayList<>();
-            for (int i = 0; i < 400; i++) {
-                Socket socket = keep(new Socket("127.0.0.1", port));
-                socket.setSoTimeout(15_000);
-                idle.add(socket);
+        try (ProgramWith200Descriptors program = new ProgramWith200Descriptors(told, port)) {
+            Socket last = program.connect();
+            for (int i = 1; i < 400; i++) {
+                last = program.connect();
             }
-            Socket last = idle.get(399);
             last.getOutputStream().write(Caller.prompt("held", "{}").getBytes(StandardCharsets.US_ASCII));
             assertEquals("a request on a connection that is held is served", "HTTP/1.1 200 ",
                     new String(last.getInputStream().readNBytes(13), StandardCharsets.US_ASCII));
-            deployment.list.play(e -> { // back, with all descriptors held
+            told.list.play(e -> { // back, with all descriptors held
                 e.streamHead();
                 e.chunk(Deployment.told(2, false, Deployment.entry("s-0", drains.address(), "draining")) + "\n");
                 e.awaitClose();
@@ -305,16 +313,11 @@
             await("the drain is heeded", () -> {
                 int before = drains.attempts.size();
                 for (int i = 0; i < 20; i++) {
-                    try (Caller caller = new Caller(at)) {
-                        String answer = caller.send(Caller.prompt("a" + asked[0]++, "{}")).readTo(END);
-                        assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
-                    }
+                    program.assertServes("a" + asked[0]++);
                 }
                 return drains.attempts.size() == before;
             });
-            assertTrue(program.isAlive());
-        } finally {
-            program.destroyForcibly();
+            assertTrue(program.process.isAlive());
         }
     }
 
