--- /dev/null
+++ b/lab/src/test/java/streamproxy/lab/faults/RouterUnderFaults.java
@@ -0,0 +1,133 @@
+package streamproxy.lab.faults;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import streamproxy.lab.RouterProcess;
+import streamproxy.lab.Setup;
+import streamproxy.lab.StandIns;
+import streamproxy.lab.fleet.DaemonProcess;
+
+/** One router as a process whose system calls can be made to fail, over replicas that note what they are told. */
+final class RouterUnderFaults implements AutoCloseable {
+    /** An attempt whose last byte has come: for which request, what time it was told, and when. */
+    record Told(String id, double seconds, long at) { }
+
+    private static final Path JAR = Path.of("../router/target/streamproxy.jar");
+    private static final int PATIENCE_S = 30;
+    private static final byte[] STREAM = ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+
+    final FaultInjector faults;
+    final DaemonProcess process;
+    final Queue<Told> told = new ConcurrentLinkedQueue<>();
+    private final StandIns standIns;
+    private final InetSocketAddress listen = RouterProcess.free();
+
+    RouterUnderFaults(int replicas) throws Exception {
+        Path folder = Files.createTempDirectory("faults");
+        standIns = new StandIns(replicas, this::serve);
+        faults = new FaultInjector(folder.resolve("faults"));
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, standIns.configuration(1_024, 192));
+        InetSocketAddress operators = RouterProcess.free();
+        Map<String, String> environment = new HashMap<>(faults.environment());
+        environment.putAll(Map.of("NODE_NAME", "n0", "NODE_LISTEN", "127.0.0.1:" + listen.getPort(), "NODE_OPERATOR",
+                "127.0.0.1:" + operators.getPort(), "NODE_DISCOVERY", standIns.listAddress(), "NODE_CONFIG", config.toString()));
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        command.addAll(Arrays.asList(Setup.FLAGS.split(" ")));
+        command.addAll(List.of("-jar", JAR.toAbsolutePath().toString(), "serve"));
+        process = new DaemonProcess("n0", command, environment, operators, folder.resolve("log"));
+        process.start();
+        await("ready", () -> process.isAlive() && isReady());
+    }
+
+    private boolean isReady() {
+        try (Socket socket = connect()) {
+            return status(socket, "GET /ready HTTP/1.1\r\nHost: lab\r\n\r\n") == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private boolean serve(StandIns.Message message, Socket socket) throws IOException {
+        told.add(new Told(field(message.head(), "Req-Id"), Double.parseDouble(field(message.head(), "Req-Deadline")), System.nanoTime()));
+        socket.getOutputStream().write(STREAM);
+        return true;
+    }
+
+    static String field(String head, String name) {
+        return Arrays.stream(head.split("\r\n")).filter(line -> line.startsWith(name + ": ")).findFirst().orElseThrow()
+                .substring(name.length() + 2);
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket(listen.getAddress(), listen.getPort());
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(PATIENCE_S * 1_000);
+        return socket;
+    }
+
+    static String prompt(String id, String deadline, int bodyBytes) {
+        String body = "{\"a\":\"" + "x".repeat(bodyBytes) + "\"}";
+        return "POST /v1/chat/completions HTTP/1.1\r\nHost: lab\r\nReq-Id: " + id + "\r\nReq-Kind: chat\r\nReq-Key: 1\r\nReq-Deadline: "
+                + deadline + "\r\nReq-Extra: prompt_len=20,max_out=20\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Asks, and reads the answer to its end; its status, or 0 where the connection ended without one. */
+    static int status(Socket socket, String request) throws IOException {
+        send(socket, request);
+        return status(socket);
+    }
+
+    static int status(Socket socket) throws IOException {
+        StringBuilder answer = new StringBuilder();
+        while (answer.indexOf("\r\n\r\n") < 0) {
+            int c = socket.getInputStream().read();
+            if (c < 0) {
+                return 0;
+            }
+            answer.append((char) c);
+        }
+        if (answer.indexOf("Content-Length: ") > 0) {
+            socket.getInputStream().readNBytes(Integer.parseInt(field(answer.toString(), "Content-Length")));
+        } else {
+            while (answer.indexOf("0\r\n\r\n", answer.length() - 5) < 0) {
+                int c = socket.getInputStream().read();
+                if (c < 0) {
+                    return 0;
+                }
+                answer.append((char) c);
+            }
+        }
+        return Integer.parseInt(answer.substring(9, 12));
+    }
+
+    static void await(String what, BooleanSupplier so) throws InterruptedException { DaemonProcess.await(what, PATIENCE_S, so); }
+
+    /** Waits until so much time has passed since then. */
+    static void awaitElapsed(long since, long ms) throws InterruptedException {
+        await(ms + " ms have passed", () -> System.nanoTime() - since >= TimeUnit.MILLISECONDS.toNanos(ms));
+    }
+
+    @Override public void close() throws IOException {
+        process.kill();
+        standIns.close();
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/streamproxy/lab/faults/SystemCallFaultsIntegrationTest.java
@@ -0,0 +1,104 @@
+package streamproxy.lab.faults;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What callers and replicas see of a router as a process while its system calls fail. */
+@Timeout(120)
+class SystemCallFaultsIntegrationTest {
+    /** A replica may be told so much more than the client has left, in seconds (STANDING.md). */
+    private static final double SLACK_S = 0.15;
+    private static final int CLIENTS = 20;
+
+    private RouterUnderFaults router;
+
+    @BeforeEach void start() throws Exception { router = new RouterUnderFaults(2); }
+
+    @AfterEach void end() throws Exception { router.close(); }
+
+    private static void assertNotTooLong(RouterUnderFaults.Told told, long sentAt, double deadlineS) {
+        double left = deadlineS - (told.at() - sentAt) / 1e9;
+        assertTrue(told.seconds() <= left + SLACK_S, "told " + told.seconds() + " s with " + left + " s left");
+    }
+
+    @Tag("known-red")
+    @Test void aReplicaIsNotToldTheTimeForWhichARequestWaitedToBeAccepted() throws Exception {
+        router.faults.begin(SystemCall.ACCEPT, Fault.failing(Errno.ENFILE, 1));
+        try (Socket client = router.connect()) {
+            long sentAt = System.nanoTime();
+            RouterUnderFaults.send(client, RouterUnderFaults.prompt("a", "3.000", 2));
+            RouterUnderFaults.await("accept fails", () -> router.faults.hits(SystemCall.ACCEPT) > 0);
+            RouterUnderFaults.awaitElapsed(sentAt, 800);
+            router.faults.endAll();
+            assertEquals(200, RouterUnderFaults.status(client));
+            assertNotTooLong(router.told.remove(), sentAt, 3);
+        }
+    }
+
+    @Tag("known-red")
+    @Test void aReplicaIsNotToldTheTimeForWhichItsRequestWasWritten() throws Exception {
+        try (Socket client = router.connect()) {
+            router.faults.begin(SystemCall.WRITE, Fault.slow(1, 2));
+            long sentAt = System.nanoTime();
+            RouterUnderFaults.send(client, RouterUnderFaults.prompt("a", "2.000", 2));
+            int status = RouterUnderFaults.status(client);
+            assertTrue(status != 0, "it has its answer");
+            router.told.forEach(told -> assertNotTooLong(told, sentAt, 2));
+        }
+    }
+
+    @Tag("known-red")
+    @Test void anAcceptThatFailsForAMomentTurnsNobodyAwayForGood() throws Exception {
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            clients.add(router.connect());
+            assertEquals(200, RouterUnderFaults.status(clients.get(i), RouterUnderFaults.prompt("before" + i, "3.000", 2)));
+        }
+        router.faults.begin(SystemCall.ACCEPT, Fault.failing(Errno.ENFILE, 1));
+        clients.add(router.connect());
+        RouterUnderFaults.await("accept fails", () -> router.faults.hits(SystemCall.ACCEPT) > 2);
+        router.faults.endAll();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(router.connect());
+        }
+        for (int i = 0; i < clients.size(); i++) {
+            assertEquals(200, RouterUnderFaults.status(clients.get(i), RouterUnderFaults.prompt("after" + i, "3.000", 2)), "client " + i);
+        }
+        for (Socket client : clients) {
+            client.close();
+        }
+    }
+
+    @Tag("known-red")
+    @Test void aReadThatIsInterruptedIsNotTakenForTheClientsEnd() throws Exception {
+        router.faults.begin(SystemCall.READ, Fault.failing(Errno.EINTR, 2));
+        for (int client = 0; client < 4; client++) {
+            try (Socket socket = router.connect()) {
+                for (int i = 0; i < 10; i++) {
+                    assertEquals(200, RouterUnderFaults.status(socket, RouterUnderFaults.prompt(client + "-" + i, "3.000", 2)));
+                }
+            }
+        }
+        assertTrue(router.faults.hits(SystemCall.READ) > CLIENTS, "reads were interrupted");
+    }
+
+    @Tag("known-red")
+    @Test void aLogThatIsSlowHoldsUpNoAnswer() throws Exception {
+        router.faults.begin(SystemCall.LOG, Fault.late(2_000, 1));
+        long calledAt = System.nanoTime();
+        assertEquals(200, router.process.call("POST", "/admin/quiesce").status());
+        try (Socket client = router.connect()) {
+            assertEquals(503, RouterUnderFaults.status(client, "GET /ready HTTP/1.1\r\nHost: lab\r\n\r\n"));
+        }
+        assertTrue(System.nanoTime() - calledAt < 1_000_000_000L, "an operator's answer is due within 1 s");
+    }
+}
