Repeat a read that a signal has interrupted in place of taking it for the peer's end

Cause: a channel's read hands out the JDK's code for an interrupted call, below -1; fill, look, hasEnded, discardArrived and discard of Connection took each negative number for the end, and the request ended as client_left. Only -1 is the end now; lesser numbers repeat the call, as POSIX has it. The last word of a lingering close is written on after a short or interrupted write, too; by reading, no test forces that.

--- a/lab/src/test/java/streamproxy/lab/faults/SystemCallFaultsIntegrationTest.java
+++ b/lab/src/test/java/streamproxy/lab/faults/SystemCallFaultsIntegrationTest.java
@@ -78,7 +78,6 @@
         }
     }
 
-    @Tag("known-red")
     @Test void aReadThatIsInterruptedIsNotTakenForTheClientsEnd() throws Exception {
         router.faults.begin(SystemCall.READ, Fault.failing(Errno.EINTR, 2));
         for (int client = 0; client < 4; client++) {
--- a/router/src/main/java/streamproxy/transport/Connection.java
+++ b/router/src/main/java/streamproxy/transport/Connection.java
@@ -20,6 +20,8 @@
     public enum Look { QUIET, DATA, CLOSED }
 
     private static final int BUFFER = 8 * 1024;
+    /** What a read says at the peer's end. Lesser numbers are the JDK's for a call that a signal has interrupted: it says nothing. */
+    private static final int END = -1;
     /**
      * So much is read and thrown away behind a full buffer to find the peer's end, at each look: as much as a receive buffer
      * of the usual limits holds, so that one look finds the end of whatever was sent before it.
@@ -92,7 +94,10 @@
             buffer = new byte[BUFFER];
         }
         channel.socket().setSoTimeout((int) Math.min(Integer.MAX_VALUE, (timeoutNs + 999_999) / 1_000_000));
-        int n = channel.socket().getInputStream().read(buffer, 0, BUFFER);
+        int n;
+        do {
+            n = channel.socket().getInputStream().read(buffer, 0, BUFFER);
+        } while (n < END);
         next = 0;
         end = Math.max(0, n);
         return n > 0;
@@ -130,7 +135,7 @@
                 buffer = new byte[BUFFER];
             }
             channel.configureBlocking(false);
-            int n = channel.read(ByteBuffer.wrap(buffer));
+            int n = readNow(ByteBuffer.wrap(buffer));
             channel.configureBlocking(true);
             next = 0;
             end = Math.max(0, n);
@@ -162,7 +167,7 @@
             channel.configureBlocking(false);
             int n = 1;
             while (n > 0 && end < BUFFER) {
-                n = channel.read(ByteBuffer.wrap(buffer, end, BUFFER - end));
+                n = readNow(ByteBuffer.wrap(buffer, end, BUFFER - end));
                 end += Math.max(0, n);
             }
             if (n > 0) {
@@ -181,12 +186,21 @@
         int n = 1;
         for (int total = 0; n > 0 && total < DISCARDED_MOST; total += n) {
             scratch.clear();
-            n = channel.read(scratch);
+            n = readNow(scratch);
             discarded |= n > 0;
         }
         return n;
     }
 
+    /** Reads what is there, without waiting; {@link #END} at the peer's end. Only while the channel does not block. */
+    private int readNow(ByteBuffer to) throws IOException {
+        int n;
+        do {
+            n = channel.read(to);
+        } while (n < END);
+        return n;
+    }
+
     /** Whether some of what the peer sent was thrown away: what comes next cannot be read as a request. */
     public boolean isSpoilt() { return discarded; }
 
@@ -205,22 +219,28 @@
     boolean linger(byte[] lastWord, Selector selector, Object attachment) throws IOException {
         next = end; // what came is not wanted
         channel.configureBlocking(false);
-        if (lastWord.length > 0) {
-            channel.write(ByteBuffer.wrap(lastWord));
-        }
+        writeNow(ByteBuffer.wrap(lastWord));
         channel.shutdownOutput();
         return watch(selector, attachment);
     }
 
+    /** Writes as much as the socket takes, without waiting, however few bytes it takes at a time. */
+    private void writeNow(ByteBuffer from) throws IOException {
+        int n = 1;
+        while (from.hasRemaining() && n != 0) {
+            n = channel.write(from); // negative where a signal has interrupted it: it is repeated
+        }
+    }
+
     SelectionKey keyFor(Selector selector) { return channel.keyFor(selector); }
 
     /** Reads and throws away, without waiting; how many bytes, or -1 at the end. Only while it is watched. */
     int discard(ByteBuffer scratch) {
         try {
             scratch.clear();
-            return channel.read(scratch);
+            return readNow(scratch);
         } catch (IOException e) {
-            return -1;
+            return END;
         }
     }
 
