Go on accepting the backlog of a shutdown when one accept fails

Callers saw a reset in place of an answer. Cause: the listener that closes gave up the whole backlog at the first accept that failed, and the close resets what waits there, requests that have arrived whole included. Evidence: theBacklogIsAnsweredThoughAcceptFailsWhileTheRouterLeaves fails with no time to try again (connection reset) and passes with 1.5 s, which ends before close stops waiting for the thread (2 s). Whether the queue is empty is asked of the selector: an accept that a signal interrupts says the same as an empty queue.

--- a/lab/src/test/java/streamproxy/lab/faults/SystemCallFaultsIntegrationTest.java
+++ b/lab/src/test/java/streamproxy/lab/faults/SystemCallFaultsIntegrationTest.java
@@ -89,6 +89,19 @@
         assertTrue(router.faults.hits(SystemCall.READ) > CLIENTS, "reads were interrupted");
     }
 
+    @Test void theBacklogIsAnsweredThoughAcceptFailsWhileTheRouterLeaves() throws Exception {
+        router.faults.begin(SystemCall.ACCEPT, Fault.failing(Errno.ENFILE, 1));
+        try (Socket client = router.connect()) {
+            RouterUnderFaults.send(client, RouterUnderFaults.prompt("a", "3.000", 2));
+            router.process.terminate();
+            RouterUnderFaults.await("its grace is over", () -> router.logs("FINISHING after LEAVING"));
+            long before = router.faults.hits(SystemCall.ACCEPT);
+            RouterUnderFaults.await("accept fails", () -> router.faults.hits(SystemCall.ACCEPT) > before);
+            router.faults.endAll();
+            assertTrue(RouterUnderFaults.status(client) != 0, "it has an answer");
+        }
+    }
+
     @Tag("known-red")
     @Test void aLogThatIsSlowHoldsUpNoAnswer() throws Exception {
         router.faults.begin(SystemCall.LOG, Fault.late(2_000, 1));
--- a/router/src/main/java/streamproxy/transport/Listener.java
+++ b/router/src/main/java/streamproxy/transport/Listener.java
@@ -40,6 +40,8 @@
     private static final long WARN_EVERY_NS = 1_000 * MS;
     /** How long closing waits for the listener's thread. */
     private static final long CLOSE_WAIT_MS = 2_000;
+    /** How long a listener that closes tries to accept its backlog while accepts fail. */
+    private static final long BACKLOG_WAIT_NS = 1_500 * MS;
 
     private final ServerSocketChannel server;
     private final Selector selector;
@@ -117,12 +119,21 @@
 
     /** The last connections, at whatever pace they came; no more of them than the backlog holds. */
     private void acceptBacklog() {
+        long until = System.nanoTime() + BACKLOG_WAIT_NS;
         try (server; selector) {
-            for (int accepted = 0; accepted < BACKLOG && selector.selectNow() > 0; accepted++) {
+            for (int accepted = 0; accepted < BACKLOG && selector.selectNow() > 0;) {
                 selector.selectedKeys().clear();
-                acceptOne();
+                try {
+                    acceptOne();
+                    accepted++;
+                } catch (IOException e) {
+                    if (System.nanoTime() - until >= 0) {
+                        throw e; // the rest is reset, with nothing of it read
+                    }
+                    couldNotAccept(e);
+                }
             }
-        } catch (IOException e) { // no descriptor: the rest is reset, with nothing of it read
+        } catch (IOException e) {
             failed(e);
         }
     }
