Reckon a client's time from the earliest moment at which it may have sent its request

What replicas saw: told 2.966 s with 2.174 s left after accept had failed for 0.8 s; by the incident's table over by up to 1.63 s on first attempts. Cause: the deadline began when the router had read the request, so that all time in the queue of connections, in the watch, behind a long answer on the same connection and in a late thread was given to the client for nothing. Nothing tells how old bytes are; what is known is when the router last looked and found nothing. Listener and watch look each 50 ms (one more wait that does not block before each that does), an exchange looks before its last chunk and while it waits for a slow client, and each connection carries that bound.

--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -228,7 +228,8 @@
         AnswerBuffer held = new AnswerBuffer(streams, desk.heldBytes(), System.nanoTime(), connection::hasEnded);
         answer = held;
         Request request = new Request(prompted, Math.max(0, desk.tenants().indexOf(prompted.tenant())),
-                new PassedOn(head.method(), head.target(), prompted.id(), head.get("Idempotency-Key"), body), held, desk.clock().now());
+                new PassedOn(head.method(), head.target(), prompted.id(), head.get("Idempotency-Key"), body), held, desk.clock().now(),
+                desk.clock().ofNanoTime(connection.arrivedNotBefore()));
         if (!desk.module().taken(request)) {
             desk.records().turnedAway(prompted, "mailbox_full");
             return say(503, NO_ROOM, head, at.later());
@@ -296,6 +297,7 @@
                         events += EventStream.isText(letter.event()) ? 1 : 0;
                     }
                     case ENDED -> {
+                        connection.noteWhetherEmpty(); // the client's next request follows its last chunk
                         writer.lastChunk();
                         how = Event.Final.SERVED;
                         return next(head, closes);
@@ -323,12 +325,12 @@
 
     /** How long to wait until the client's side and the deadline are looked at, whichever is sooner. */
     private long lookAfter(Request request) {
-        long left = request.answered() ? LOOK : request.deadlineAt - desk.clock().now();
+        long left = request.answered() ? LOOK : request.deadline.leftNs(desk.clock().now());
         return Math.max(1, Math.min(LOOK, left));
     }
 
     /** Whether its time is up without an answer; from now on nobody else gives one. */
-    private boolean isOverdue(Request request) { return desk.clock().now() >= request.deadlineAt && request.answer(); }
+    private boolean isOverdue(Request request) { return request.deadline.isOver(desk.clock().now()) && request.answer(); }
 
     /** The module answers before the deadline; should it fail to, its client still gets the one answer in time. */
     private Then overdue(Request request, HttpHead head) throws IOException {
@@ -344,6 +346,7 @@
     private Then say(int status, String text, HttpHead head, String... fields) throws IOException {
         boolean close = closing(head);
         begun = true;
+        connection.noteWhetherEmpty();
         writer.answer(status, text, close, fields);
         return next(head, close);
     }
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -254,7 +254,7 @@
         try {
             policy.on(now, new Routing.Arrival(request.number, clazz, request.tenant, request.prompt.key(),
                     request.prompt.prefix(), request.prompt.promptTokens(), request.prompt.prefixTokens(),
-                    request.prompt.mostTokens(), request.deadlineAt - now, -1, request.prompt.clientRetry()));
+                    request.prompt.mostTokens(), request.deadline.leftNs(now), -1, request.prompt.clientRetry()));
         } catch (RuntimeException e) {
             Logger.error(e, "the module could not take request {}", request.prompt.id());
             fail(request.number);
@@ -420,7 +420,7 @@
             return;
         }
         Attempt attempt = new Attempt(r, r.attempts.size(), replica, uid(replica), r.choice, now,
-                Math.min(now + Math.max(0, timeoutNs), r.deadlineAt), Math.min(repeatBy(r), later(now, beginWithinNs)));
+                Math.min(now + Math.max(0, timeoutNs), r.deadline.endsAtNs()), Math.min(repeatBy(r), later(now, beginWithinNs)));
         attempt.reportNs = r.reportNs;
         r.attempts.add(attempt);
         boolean moot = r.answered() || attempt.number >= settings.limits().maxAttempts() || !known.containsKey(replica);
--- a/router/src/main/java/streamproxy/routing/Request.java
+++ b/router/src/main/java/streamproxy/routing/Request.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import streamproxy.decision.Routing;
+import streamproxy.dispatch.ClientDeadline;
 import streamproxy.protocol.PassedOn;
 import streamproxy.protocol.PromptHeaders;
 import streamproxy.records.Event;
@@ -17,7 +18,7 @@
     final int tenant;
     final Client client;
     final long takenAt;
-    final long deadlineAt;
+    final ClientDeadline deadline;
     /**
      * How it ended for its client.
      *
@@ -42,13 +43,22 @@
     private final AtomicInteger sides = new AtomicInteger(2);
     volatile End end; // the client's side alone sets it
 
+    /** One that its client has sent just now. */
     public Request(PromptHeaders prompt, int tenant, PassedOn passedOn, Client client, long takenAt) {
+        this(prompt, tenant, passedOn, client, takenAt, takenAt);
+    }
+
+    /**
+     * @param takenAt       when it was read
+     * @param sentNotBefore the last moment at which its last byte is known not to have come
+     */
+    public Request(PromptHeaders prompt, int tenant, PassedOn passedOn, Client client, long takenAt, long sentNotBefore) {
         this.prompt = prompt;
         this.tenant = tenant;
         this.passedOn = passedOn;
         this.client = client;
         this.takenAt = takenAt;
-        this.deadlineAt = takenAt + prompt.deadlineNs();
+        this.deadline = ClientDeadline.of(takenAt, sentNotBefore, prompt.deadlineNs());
     }
 
     /** One side is done; true for the second. */
--- a/router/src/main/java/streamproxy/transport/Connection.java
+++ b/router/src/main/java/streamproxy/transport/Connection.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
@@ -22,6 +23,13 @@
     private static final int BUFFER = 8 * 1024;
     /** What a read says at the peer's end. Lesser numbers are the JDK's for a call that a signal has interrupted: it says nothing. */
     private static final int END = -1;
+    private static final long MS = 1_000_000L;
+    /** How long the first wait for a client's next bytes is until it is noted that none have come; each further one is twice as long. */
+    private static final long FIRST_LOOK_NS = 50 * MS;
+    /** How long such a wait is at most. */
+    private static final long LAST_LOOK_NS = 200 * MS;
+    /** Within so long after a look at a client's connection its next read is spared another. */
+    private static final long LOOK_SPARED_NS = 10 * MS;
     /**
      * So much is read and thrown away behind a full buffer to find the peer's end, at each look: as much as a receive buffer
      * of the usual limits holds, so that one look finds the end of whatever was sent before it.
@@ -39,10 +47,21 @@
     private volatile boolean readingEnded;
     private int next;
     private int end;
+    private volatile long emptyAt; // the last moment at which the socket is known to have held nothing unread
+    private volatile long arrivedNotBefore; // a bound for the oldest bytes in the buffer
     private boolean discarded; // some bytes came behind a full buffer and were thrown away
 
-    /** One that a peer has opened; whoever accepted it counts it. */
-    static Connection accepted(SocketChannel channel) throws IOException { return new Connection(channel, null); }
+    /**
+     * One that a peer has opened; whoever accepted it counts it.
+     *
+     * @param notBefore a moment of {@link System#nanoTime} at which it had not come yet
+     */
+    static Connection accepted(SocketChannel channel, long notBefore) throws IOException {
+        Connection connection = new Connection(channel, null);
+        connection.emptyAt = notBefore;
+        connection.arrivedNotBefore = notBefore;
+        return connection;
+    }
 
     /** Wraps an open channel whose place in the budget is already taken. */
     private Connection(SocketChannel channel, Budget budget) throws IOException {
@@ -67,7 +86,7 @@
     }
 
     public void connect(InetSocketAddress to, long timeoutNs) throws IOException {
-        channel.socket().connect(to, (int) Math.max(1, timeoutNs / 1_000_000));
+        channel.socket().connect(to, (int) Math.max(1, timeoutNs / MS));
     }
 
     /** Waits so long (0: for ever) for the first byte of what comes next; false at the end. */
@@ -93,14 +112,67 @@
         if (buffer == null) {
             buffer = new byte[BUFFER];
         }
-        channel.socket().setSoTimeout((int) Math.min(Integer.MAX_VALUE, (timeoutNs + 999_999) / 1_000_000));
+        int n = isFromPeer() ? readLooking(timeoutNs) : readWaiting(timeoutNs);
+        arrivedNotBefore = emptyAt;
+        next = 0;
+        end = Math.max(0, n);
+        return n > 0;
+    }
+
+    /** Whether the peer has opened it: a client's, whose time runs from its sending on. */
+    private boolean isFromPeer() { return budget == null; }
+
+    /** Reads what comes next, waiting at most so long (0: for ever). */
+    private int readWaiting(long timeoutNs) throws IOException {
+        channel.socket().setSoTimeout((int) Math.min(Integer.MAX_VALUE, (timeoutNs + MS - 1) / MS));
         int n;
         do {
             n = channel.socket().getInputStream().read(buffer, 0, BUFFER);
         } while (n < END);
-        next = 0;
-        end = Math.max(0, n);
-        return n > 0;
+        return n;
+    }
+
+    /** The same, noting again and again that nothing has come yet. */
+    private int readLooking(long timeoutNs) throws IOException {
+        long until = System.nanoTime() + timeoutNs;
+        long wait = FIRST_LOOK_NS;
+        while (true) {
+            long lookedAt = System.nanoTime();
+            if (lookedAt - emptyAt > LOOK_SPARED_NS) {
+                noteWhetherEmpty();
+            }
+            long left = timeoutNs == 0 ? wait : until - lookedAt;
+            if (left <= 0) {
+                throw new SocketTimeoutException("nothing came in time");
+            }
+            try {
+                return readWaiting(Math.min(wait, left));
+            } catch (SocketTimeoutException e) {
+                emptyAt = lookedAt;
+                wait = Math.min(2 * wait, LAST_LOOK_NS);
+            }
+        }
+    }
+
+    /**
+     * A moment of {@link System#nanoTime} before which the oldest bytes in the buffer cannot have come: the last one at which the
+     * connection was seen without a byte to read, or was not there yet.
+     */
+    public long arrivedNotBefore() { return arrivedNotBefore; }
+
+    /** Looks whether the socket holds anything unread, and remembers the moment if it does not. Any thread may ask. */
+    public void noteWhetherEmpty() {
+        long lookedAt = System.nanoTime();
+        if (!hasArrived()) {
+            emptyAt = lookedAt;
+        }
+    }
+
+    /** The socket held nothing unread at that moment. */
+    void wasEmptyAt(long at) {
+        if (at - emptyAt > 0) {
+            emptyAt = at;
+        }
     }
 
     /** From now on reads find the end, one that is waiting too. Any thread may say so. */
@@ -135,8 +207,13 @@
                 buffer = new byte[BUFFER];
             }
             channel.configureBlocking(false);
+            long lookedAt = System.nanoTime();
             int n = readNow(ByteBuffer.wrap(buffer));
             channel.configureBlocking(true);
+            arrivedNotBefore = emptyAt;
+            if (n == 0) {
+                emptyAt = lookedAt;
+            }
             next = 0;
             end = Math.max(0, n);
             return n < 0 ? Look.CLOSED : n == 0 ? Look.QUIET : Look.DATA;
@@ -163,13 +240,21 @@
         System.arraycopy(buffer, next, buffer, 0, end - next);
         end -= next;
         next = 0;
+        if (end == 0) {
+            arrivedNotBefore = emptyAt;
+        }
         try {
             channel.configureBlocking(false);
+            long lookedAt = 0;
             int n = 1;
             while (n > 0 && end < BUFFER) {
+                lookedAt = System.nanoTime();
                 n = readNow(ByteBuffer.wrap(buffer, end, BUFFER - end));
                 end += Math.max(0, n);
             }
+            if (n == 0) {
+                emptyAt = lookedAt;
+            }
             if (n > 0) {
                 n = discardArrived();
             }
--- a/router/src/main/java/streamproxy/transport/Listener.java
+++ b/router/src/main/java/streamproxy/transport/Listener.java
@@ -8,6 +8,7 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
 /**
@@ -38,6 +39,8 @@
     private static final long MS = 1_000_000L;
     /** One warning in so long: where descriptors are short, each try fails. */
     private static final long WARN_EVERY_NS = 1_000 * MS;
+    /** How often it is noted that the queue is empty. */
+    private static final long LOOK_MS = 50;
     /** How long closing waits for the listener's thread. */
     private static final long CLOSE_WAIT_MS = 2_000;
     /** How long a listener that closes tries to accept its backlog while accepts fail. */
@@ -48,6 +51,7 @@
     private final Gate gate;
     private volatile Thread thread;
     private volatile boolean closing;
+    private long emptyAt = System.nanoTime(); // the last moment at which no connection waited; the listener's thread alone touches it
     private long warnedAt = System.nanoTime() - WARN_EVERY_NS;
     private int failures;
     private int failuresInRow; // of accepts; the listener's thread alone touches it
@@ -72,8 +76,9 @@
     private void run() {
         while (!closing) {
             try {
-                selector.select();
-                selector.selectedKeys().clear();
+                if (!awaitConnection()) {
+                    continue;
+                }
                 long wait = closing ? 0 : gate.waitNs(); // as things are now that a connection has come
                 if (wait > 0) {
                     pause(Math.min(wait, PAUSE_NS)); // the backlog holds it; limits may change meanwhile
@@ -92,6 +97,29 @@
         acceptBacklog();
     }
 
+    /**
+     * Waits until a connection is in the queue; false where none has come for a while, or the listener closes. That the queue
+     * was empty is noted again and again, since nothing else tells since when a connection has waited there.
+     */
+    private boolean awaitConnection() throws IOException {
+        if (isQueued()) {
+            return true;
+        }
+        selector.select(LOOK_MS);
+        return !selector.selectedKeys().isEmpty();
+    }
+
+    /** Whether a connection is in the queue now. */
+    private boolean isQueued() throws IOException {
+        long lookedAt = System.nanoTime();
+        selector.selectedKeys().clear();
+        boolean queued = selector.selectNow() > 0;
+        if (!queued) {
+            emptyAt = lookedAt;
+        }
+        return queued;
+    }
+
     /** Accepts the next connection, where there is one, and hands it on. */
     private void acceptOne() throws IOException {
         SocketChannel channel = server.accept();
@@ -100,7 +128,11 @@
             return; // none waits, or a signal has interrupted the call
         }
         try {
-            gate.comes(Connection.accepted(channel));
+            Connection connection = Connection.accepted(channel, emptyAt);
+            if (System.nanoTime() - emptyAt > TimeUnit.MILLISECONDS.toNanos(LOOK_MS)) {
+                connection.noteWhetherEmpty(); // one that has not asked yet has waited for nothing
+            }
+            gate.comes(connection);
         } catch (IOException | RuntimeException | Error e) {
             channel.close();
             failed(e);
@@ -121,8 +153,7 @@
     private void acceptBacklog() {
         long until = System.nanoTime() + BACKLOG_WAIT_NS;
         try (server; selector) {
-            for (int accepted = 0; accepted < BACKLOG && selector.selectNow() > 0;) {
-                selector.selectedKeys().clear();
+            for (int accepted = 0; accepted < BACKLOG && isQueued();) {
                 try {
                     acceptOne();
                     accepted++;
--- a/router/src/main/java/streamproxy/transport/QuietConnections.java
+++ b/router/src/main/java/streamproxy/transport/QuietConnections.java
@@ -20,7 +20,8 @@
  * leaves, blocking as it was, and is read and written by a thread of its own.
  *
  * <p>How long each may stay quiet is kept on a timing wheel, so that the watch costs what happens and not what it
- * watches: with nothing due and nothing coming its thread sleeps.
+ * watches. With nothing due and nothing coming its thread looks up some times a second, so that it is known how old at most
+ * what comes is.
  */
 public final class QuietConnections {
     /** Whose connection it is; called on the watching thread, which must not be kept. */
@@ -38,7 +39,8 @@
         private final Owner owner;
         private long until;
         private SelectionKey key;
-        private boolean left; // the watching thread alone touches this and the key
+        private long registeredAt;
+        private boolean left; // the watching thread alone touches this, the key and the time
 
         Watch(Connection connection, long until, Owner owner) {
             this.connection = connection;
@@ -104,6 +106,10 @@
     /** The wheel's ticks are about a millisecond long, the finest that a selector waits. */
     private static final int TICK_SHIFT = 20;
     private static final long MS = 1_000_000L;
+    /** How often it is noted that nothing has come. */
+    private static final long LOOK_MS = 50;
+    /** Where one look finds so many connections ready it may have left others out: a selector tells of 512 at a time. */
+    private static final int READY_MOST = 500;
     /** So much of what a peer that is being left still sends is read. */
     private static final int UNWANTED = 64 * 1024;
 
@@ -113,6 +119,8 @@
     private final List<Runnable> leaving = new ArrayList<>();
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(8 * 1024);
     private final Selector selector;
+    /** At that moment nothing was there to read of any connection that is watched, but for those found ready since. */
+    private long quietAt = System.nanoTime();
     private final TimerWheel wheel = new TimerWheel(TICK_SHIFT, System.nanoTime());
 
     public QuietConnections() throws IOException { selector = Selector.open(); }
@@ -157,20 +165,29 @@
     private void run() {
         while (true) {
             try {
-                long next = wheel.nextAt();
-                long wait = next == Long.MAX_VALUE ? 0 : Math.max(1, (next - System.nanoTime() + MS - 1) / MS);
-                if (comers.isEmpty() && asks.isEmpty() && sweeps.isEmpty()) {
-                    selector.select(wait);
-                } else {
-                    selector.selectNow();
+                long lookedAt = System.nanoTime();
+                int ready = selector.selectNow();
+                if (ready == 0 && comers.isEmpty() && asks.isEmpty() && sweeps.isEmpty() && leaving.isEmpty()) {
+                    quietAt = lookedAt;
+                    lookedAt = System.nanoTime();
+                    ready = selector.select(waitMs(lookedAt));
                 }
                 round();
+                if (ready < READY_MOST) {
+                    quietAt = lookedAt;
+                }
             } catch (IOException | RuntimeException | Error e) {
                 Logger.error(e, "the watch of quiet connections goes on after");
             }
         }
     }
 
+    /** How long to wait for the next event; never for long, so that it is known how old what comes can be. */
+    private long waitMs(long now) {
+        long next = wheel.nextAt();
+        return next == Long.MAX_VALUE ? LOOK_MS : Math.min(LOOK_MS, Math.max(1, (next - now + MS - 1) / MS));
+    }
+
     private void round() throws IOException {
         for (SelectionKey key : selector.selectedKeys()) {
             if (key.isValid()) {
@@ -220,6 +237,9 @@
     /** Takes it off the wheel and the selector; the rest is done once the selector has let go of it. */
     private void leave(Watch watch, Consumer<Watch> then) {
         if (end(watch)) {
+            if (watch.key != null && quietAt - watch.registeredAt > 0) {
+                watch.connection.wasEmptyAt(quietAt);
+            }
             leaving.add(() -> {
                 try {
                     then.accept(watch);
@@ -264,6 +284,7 @@
         try {
             if (begin(comer)) {
                 comer.key = comer.connection.keyFor(selector);
+                comer.registeredAt = System.nanoTime();
                 wheel.set(comer, comer.until);
             } else {
                 comer.left = true;
