--- a/decision/src/main/java/streamproxy/dispatch/Rule.java
+++ b/decision/src/main/java/streamproxy/dispatch/Rule.java
@@ -15,6 +15,6 @@
     /** The first answer came long after the client's time. */
     ANSWERED_LATE;
 
-    /** As logs and records have it. */
+    /** As the log and records have it. */
     public String word() { return name().toLowerCase(Locale.ROOT); }
 }
--- a/records/src/main/java/streamproxy/records/Event.java
+++ b/records/src/main/java/streamproxy/records/Event.java
@@ -14,7 +14,7 @@
     enum Kind {
         ATTEMPT(Rank.ATTEMPTS), ANSWER(Rank.ANSWERS), REFUSAL(Rank.REFUSALS), FAILURE(Rank.REFUSALS), BOX(Rank.STATE),
         LIST(Rank.STATE), RELOAD(Rank.STATE), PHASE(Rank.STATE), QUEUE(Rank.STATE), PROBE(Rank.ATTEMPTS),
-        STANDSTILL(Rank.STATE), DUTY(Rank.STATE);
+        STANDSTILL(Rank.STATE), DUTY(Rank.STATE), RULE(Rank.STATE);
 
         private final Rank rank;
 
@@ -122,6 +122,11 @@
         @Override public Kind kind() { return Kind.DUTY; }
     }
 
+    /** A rule was broken for that request. */
+    record RuleBroken(long atMs, String rule, String id) implements Event {
+        @Override public Kind kind() { return Kind.RULE; }
+    }
+
     /**
      * What became of records on their way to a collector since its last such record.
      *
--- a/records/src/main/java/streamproxy/records/EventFormatter.java
+++ b/records/src/main/java/streamproxy/records/EventFormatter.java
@@ -70,6 +70,10 @@
             boolean lapsed = e.state().equals("watching") && e.before().equals("holding");
             return told(event, lapsed ? EventText.WARNING : EventText.NOTICE, said, "duty " + e.duty() + ": " + e.state() + " after " + e.before());
         }
+        if (event instanceof Event.RuleBroken e) {
+            List<EventText.Element> said = new Params().text(Names.RULE_NAME, e.rule()).text(Names.RULE_ID, e.id()).in("rule");
+            return told(event, EventText.WARNING, said, "rule broken: " + e.rule() + ", request " + e.id());
+        }
         return queue((Event.QueueState) event);
     }
 
--- a/records/src/main/java/streamproxy/records/Names.java
+++ b/records/src/main/java/streamproxy/records/Names.java
@@ -51,6 +51,8 @@
     DUTY_STATE("duty", "state", "watching, asking, holding, stopping or releasing", 8),
     DUTY_BEFORE("duty", "before", "the state before: watching after holding has lapsed", 6),
     DUTY_FENCE("duty", "fence", "the number that its acts bear", 7),
+    RULE_NAME("rule", "name", "deadline_told, sent_too_late, answered_twice, closed_unanswered or answered_late", 8),
+    RULE_ID("rule", "id", "the request's", EventText.Param.ID),
     QUEUE_COLLECTOR("queue", "collector", "the collector's name in the operator's file", EventText.Param.ID),
     QUEUE_SENT("queue", "sent", "records handed to its transport since the last record of this kind", 8),
     QUEUE_DROPPED("queue", "dropped", "records given up since then, of all kinds", 8),
--- a/router/src/main/java/streamproxy/program/OperatorCalls.java
+++ b/router/src/main/java/streamproxy/program/OperatorCalls.java
@@ -18,7 +18,7 @@
  * Where operators call, on an address of its own: HTTP/1.1, one call to a connection, each answered and closed.
  *
  * <ul>
- * <li>{@code GET /admin/health}: 200 once this process can serve, else 503;
+ * <li>{@code GET /admin/health}: 200 once this process can serve, else 503, and a line of what rules kept back;
  * <li>{@code /admin/fleet} and paths below it: what the fleet answers ({@link Fleet#call}); 404 for a router alone;
  * <li>{@code POST /admin/quiesce}: 200, and clients are sent away ({@link Lifecycle#quiesce});
  * <li>{@code POST /admin/resume}: 200, and they come again; both are 409 once the program leaves.
@@ -34,6 +34,9 @@
         /** Whether this process can serve. */
         boolean health();
 
+        /** What was kept back by rules, and which were broken, in one line. */
+        String rules();
+
         /** Sends clients away, or takes them back; false where that can no longer be. */
         boolean quiesce(boolean away);
 
@@ -129,7 +132,7 @@
             writer.answer(fleet.status(), fleet.json(), true);
         } else if (path.equals("/admin/health")) {
             boolean serves = desk.health();
-            writer.answer(serves ? 200 : 503, serves ? "serving" : "not serving", true);
+            writer.answer(serves ? 200 : 503, (serves ? "serving" : "not serving") + "\n" + desk.rules() + "\n", true);
         } else {
             boolean away = path.equals("/admin/quiesce");
             boolean done = desk.quiesce(away);
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import org.tinylog.Logger;
+import streamproxy.dispatch.RuleMonitor;
 import streamproxy.limits.Admission;
 import streamproxy.limits.RetryAfterSchedule;
 import streamproxy.limits.ConnectionLimits;
@@ -50,6 +51,7 @@
     private final QuietConnections quiet;
     private final Timers timers = new Timers();
     private final ClientConnections clients;
+    private final RuleMonitor rules;
     private final Watchdog watchdog;
     private final ModuleActor module;
     private final ServiceDiscovery list;
@@ -78,6 +80,10 @@
         watchdog = new Watchdog(recording.records());
         lifecycle = new Lifecycle(recording::phase);
         Clock clock = new Clock();
+        rules = new RuleMonitor((rule, id) -> {
+            Logger.warn("rule broken: {}, request {}", rule.word(), id);
+            recording.records().ruleBroken(rule.word(), id);
+        });
         SettingsText text = new SettingsText(config.settings());
         settings = text.settings();
         tuned = settings;
@@ -91,7 +97,7 @@
         heldMost = held(operator);
         heldBytes = new Budget(heldMost);
         Replicas boxes = new Replicas(new Replicas.Desk(text.deployment(), text.reportLayout(), boxPlaces, clock, quiet,
-                () -> this.limits, watchdog));
+                () -> this.limits, watchdog, rules));
         module = new ModuleActor(text, config.seed(), clock, boxes, recording.records(), operator.retries(clock.now()),
                 operator.stalls());
         boxes.reportTo(module);
@@ -103,12 +109,14 @@
         classes.set(classes(text, settings, operator));
         clients = new ClientConnections(new ClientConnections.Desk(module, clock, classes, text.deployment().tenants(), bodyBytes,
                 new RecentRequestIds(), quiet, timers, () -> lifecycle.ready() && module.knowsBoxes(), lifecycle::drain,
-                new RetryAfterSchedule(config.seed()), may.retryAfter() ? may.maxRetryAfterNs() : 0, recording.records(), heldBytes),
+                new RetryAfterSchedule(config.seed()), may.retryAfter() ? may.maxRetryAfterNs() : 0, recording.records(), heldBytes, rules),
                 limits);
         listener = new Listener(config.listen(), clients);
         operatorCalls = config.operator() == null ? null : new OperatorCalls(config.operator(), new OperatorCalls.Desk() {
             @Override public boolean health() { return lifecycle.serving() && module.knowsBoxes(); }
 
+            @Override public String rules() { return rules.toString(); }
+
             @Override public Fleet.Reply fleet(String method, String path) { return fleet.call(method, path); }
 
             @Override public boolean quiesce(boolean away) {
--- a/router/src/main/java/streamproxy/routing/ClientConnections.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnections.java
@@ -10,6 +10,8 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.tinylog.Logger;
+import streamproxy.dispatch.EnumCounters;
+import streamproxy.dispatch.RuleMonitor;
 import streamproxy.limits.Admission;
 import streamproxy.limits.RetryAfterSchedule;
 import streamproxy.limits.ConnectionLimits;
@@ -35,11 +37,12 @@
      * @param drain          what becomes of connections and requests at the moment at which it is asked
      * @param heldBytes      what all answers together may hold for clients that are slow to read
      * @param records        whom to tell what became of requests
+     * @param rules          counts the rules that are broken
      * @param comeBackMostNs the longest wait that clients heed, in nanoseconds; 0 where they are told none
      */
     public record Desk(ModuleActor module, Clock clock, AtomicReference<Classes> classes, List<String> tenants, Budget bodyBytes,
             RecentRequestIds taken, QuietConnections quiet, Timers timers, BooleanSupplier ready, Supplier<DrainState> drain,
-            RetryAfterSchedule comeBack, long comeBackMostNs, Records records, Budget heldBytes) {
+            RetryAfterSchedule comeBack, long comeBackMostNs, Records records, Budget heldBytes, RuleMonitor rules) {
         static String retryAfter(long ns) { return "Retry-After: " + String.format(Locale.ROOT, "%.3f", ns / SECOND); }
     }
 
@@ -68,7 +71,7 @@
     private final Admission admission;
     private final TokenBucket pace;
     private final Set<Exchange> exchanges = ConcurrentHashMap.newKeySet();
-    private final CloseCounters closes = new CloseCounters();
+    private final EnumCounters<CloseReason> closes = new EnumCounters<>(CloseReason.class);
     private final DrainReport drainReport;
     private final TimerWheel.Timer lateSweep = new LateSweep();
 
@@ -268,7 +271,7 @@
         desk.quiet.endAll(owner -> owner instanceof ClientConnection);
         awaitNoneHeld(Long.MAX_VALUE);
         drainReport.noneHeld(System.nanoTime());
-        Logger.info("clients' connections ended: {}", closes);
+        Logger.info("clients' connections ended: {}; {}", closes, desk.rules());
     }
 
     private synchronized void awaitNoneHeld(long until) throws InterruptedException {
--- a/router/src/main/java/streamproxy/routing/CloseReason.java
+++ b/router/src/main/java/streamproxy/routing/CloseReason.java
@@ -1,7 +1,5 @@
 package streamproxy.routing;
 
-import java.util.Locale;
-
 /** Why a client's connection ended, for logs and counters. */
 enum CloseReason {
     /** The client closed or reset it, or left in the middle of an exchange. */
@@ -19,7 +17,5 @@
     /** Its request could not be read, or not in time. */
     BAD_REQUEST,
     /** An exchange on it ended with an exception. */
-    FAILED;
-
-    String word() { return name().toLowerCase(Locale.ROOT); }
+    FAILED
 }
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -4,6 +4,8 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
+import streamproxy.dispatch.AnswerGate;
+import streamproxy.dispatch.ClientDeadline;
 import streamproxy.lifecycle.DrainState;
 import streamproxy.streams.StreamLimits;
 import streamproxy.protocol.BadMessage;
@@ -70,6 +72,7 @@
     private volatile String requestId = "-"; // none was read yet
     private CloseReason reason = CloseReason.ANSWERED;
     // Of the answer that is being given; this thread alone touches them.
+    private AnswerGate gate;
     private Event.Final how;
     private long firstAt;
     private long events;
@@ -96,7 +99,9 @@
                 then = Then.END; // whatever ends this request early ends the connection
                 reason = CloseReason.ANSWERED;
                 enters(Stage.READING);
+                gate = new AnswerGate(desk.rules());
                 then = serveOne();
+                gate.ends(then == Then.END && reason == CloseReason.CLIENT_LEFT);
                 at.answered();
             } while (then == Then.GO_ON && connection.holdsMore() && at.readsAgain());
         } catch (BadMessage e) {
@@ -120,6 +125,7 @@
             desk.timers().end(stall);
             desk.timers().end(whole);
             all.isOver(this);
+            gate.ends(reason == CloseReason.CLIENT_LEFT);
             enters(Stage.ENDED);
             switch (then) {
                 case GO_ON -> at.rest();
@@ -147,6 +153,9 @@
     private Then reject(BadMessage e) {
         reason = CloseReason.BAD_REQUEST;
         try {
+            if (!gate.answers(desk.clock().now())) {
+                return Then.END;
+            }
             writer.answer(e.status(), e.getMessage(), true, e.status() == 503 ? at.later() : new String[0]);
             return Then.LINGER;
         } catch (IOException lost) {
@@ -216,10 +225,16 @@
         if (!isWhole()) {
             return sayNoRoom(); // given up for others meanwhile
         }
+        ClientDeadline deadline = ClientDeadline.of(desk.clock().now(), desk.clock().ofNanoTime(connection.arrivedNotBefore()), prompted.deadlineNs());
+        gate.owes(prompted.id(), deadline);
         DrainState.Refusal refusal = desk.drain().get().refusal(System.nanoTime());
         if (refusal != null) {
             return refuse(refusal, head, prompted);
         }
+        if (!deadline.allowsAttempt(desk.clock().now())) {
+            desk.records().turnedAway(prompted, "out_of_time");
+            return say(503, "no time is left", head, at.later());
+        }
         enters(Stage.WAITING);
         if (!desk.taken().add(prompted.id())) {
             desk.records().turnedAway(prompted, "taken_before");
@@ -228,8 +243,7 @@
         AnswerBuffer held = new AnswerBuffer(streams, desk.heldBytes(), System.nanoTime(), connection::hasEnded);
         answer = held;
         Request request = new Request(prompted, Math.max(0, desk.tenants().indexOf(prompted.tenant())),
-                new PassedOn(head.method(), head.target(), prompted.id(), head.get("Idempotency-Key"), body), held, desk.clock().now(),
-                desk.clock().ofNanoTime(connection.arrivedNotBefore()));
+                new PassedOn(head.method(), head.target(), prompted.id(), head.get("Idempotency-Key"), body), held, desk.clock().now(), deadline);
         if (!desk.module().taken(request)) {
             desk.records().turnedAway(prompted, "mailbox_full");
             return say(503, NO_ROOM, head, at.later());
@@ -288,6 +302,7 @@
                         } else {
                             closes = closing(head);
                             begun = true;
+                            gate.answers(desk.clock().now());
                             enters(Stage.STREAMING);
                             writer.firstEvent(letter.event(), closes);
                             firstAt = desk.clock().now();
@@ -346,6 +361,9 @@
     private Then say(int status, String text, HttpHead head, String... fields) throws IOException {
         boolean close = closing(head);
         begun = true;
+        if (!gate.answers(desk.clock().now())) {
+            return Then.END;
+        }
         connection.noteWhetherEmpty();
         writer.answer(status, text, close, fields);
         return next(head, close);
--- a/router/src/main/java/streamproxy/routing/Records.java
+++ b/router/src/main/java/streamproxy/routing/Records.java
@@ -81,6 +81,13 @@
         }
     }
 
+    /** A rule was broken for that request. */
+    public void ruleBroken(String rule, String id) {
+        if (to != null) {
+            to.accept(new Event.RuleBroken(nowMs(), rule, id));
+        }
+    }
+
     /** The list has said something in that form, failed, or is confirmed no more or again. */
     void list(String form, int named, int known) {
         if (to != null) {
--- a/router/src/main/java/streamproxy/routing/Replica.java
+++ b/router/src/main/java/streamproxy/routing/Replica.java
@@ -9,6 +9,7 @@
 import org.tinylog.Logger;
 import streamproxy.decision.ReportLayout;
 import streamproxy.decision.SettingsText;
+import streamproxy.dispatch.RuleMonitor;
 import streamproxy.protocol.EndpointEntry;
 import streamproxy.decision.Routing.Outcome;
 import streamproxy.limits.ConnectionLimits;
@@ -76,6 +77,7 @@
     final ReportLayout layout;
     final Clock clock;
     final QuietConnections quiet;
+    final RuleMonitor rules;
     final ModuleActor module;
     private final Budget budget;
     private volatile InetSocketAddress endpoint;
@@ -100,6 +102,7 @@
         this.budget = desk.budget();
         this.clock = desk.clock();
         this.quiet = desk.quiet();
+        this.rules = desk.rules();
         this.module = module;
         all = desk.open();
         all.add(this);
--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -182,6 +182,7 @@
             written = true; // from here on it may run
             writer.passOnLast(request);
             attempt.writtenAt = facts.now();
+            AttemptGate.broken(attempt.bounds, told, attempt.writtenAt).forEach(rule -> box.rules.broken(rule, attempt.request.prompt.id()));
             noteHeldUp(attempt, attempt.writtenAt - lookedAt);
             HttpHead head = reader.answer(attempt.endsAt - attempt.writtenAt + BEYOND);
             answered = true;
@@ -225,6 +226,7 @@
 
     /** It has never run: its replica has not got all of it. */
     private void notSent(Attempt attempt, AttemptGate.Verdict verdict) {
+        box.rules.notSent(verdict);
         Logger.debug("attempt {} of {} at {} is not sent: {}", attempt.number, attempt.request.prompt.id(), box.id, verdict);
         if (verdict == AttemptGate.Verdict.CLIENT_LEFT && !attempt.request.answered()) {
             box.module.left(attempt.request); // first: else the module would try another replica
--- a/router/src/main/java/streamproxy/routing/Replicas.java
+++ b/router/src/main/java/streamproxy/routing/Replicas.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import streamproxy.decision.ReportLayout;
 import streamproxy.decision.SettingsText;
+import streamproxy.dispatch.RuleMonitor;
 import streamproxy.limits.ConnectionLimits;
 import streamproxy.protocol.EndpointEntry;
 import streamproxy.transport.Budget;
@@ -19,13 +20,14 @@
      *
      * @param budget the connections that may be open to all of them
      * @param limits how many to one of them, and how many of these being opened; may change at any time
+     * @param rules  counts attempts that are not sent, and rules that are broken
      * @param open   the boxes themselves, any of which may be asked to give up a connection that it has no use for now
      */
     public record Desk(SettingsText.Deployment deployment, ReportLayout layout, Budget budget, Clock clock,
-            QuietConnections quiet, Supplier<ConnectionLimits> limits, Set<Replica> open, Watchdog watchdog) {
+            QuietConnections quiet, Supplier<ConnectionLimits> limits, Set<Replica> open, Watchdog watchdog, RuleMonitor rules) {
         public Desk(SettingsText.Deployment deployment, ReportLayout layout, Budget budget, Clock clock, QuietConnections quiet,
-                Supplier<ConnectionLimits> limits, Watchdog watchdog) {
-            this(deployment, layout, budget, clock, quiet, limits, ConcurrentHashMap.newKeySet(), watchdog);
+                Supplier<ConnectionLimits> limits, Watchdog watchdog, RuleMonitor rules) {
+            this(deployment, layout, budget, clock, quiet, limits, ConcurrentHashMap.newKeySet(), watchdog, rules);
         }
     }
 
--- a/router/src/main/java/streamproxy/routing/Request.java
+++ b/router/src/main/java/streamproxy/routing/Request.java
@@ -45,20 +45,20 @@
 
     /** One that its client has sent just now. */
     public Request(PromptHeaders prompt, int tenant, PassedOn passedOn, Client client, long takenAt) {
-        this(prompt, tenant, passedOn, client, takenAt, takenAt);
+        this(prompt, tenant, passedOn, client, takenAt, ClientDeadline.of(takenAt, takenAt, prompt.deadlineNs()));
     }
 
     /**
-     * @param takenAt       when it was read
-     * @param sentNotBefore the last moment at which its last byte is known not to have come
+     * @param takenAt  when it was read
+     * @param deadline until when its client waits
      */
-    public Request(PromptHeaders prompt, int tenant, PassedOn passedOn, Client client, long takenAt, long sentNotBefore) {
+    public Request(PromptHeaders prompt, int tenant, PassedOn passedOn, Client client, long takenAt, ClientDeadline deadline) {
         this.prompt = prompt;
         this.tenant = tenant;
         this.passedOn = passedOn;
         this.client = client;
         this.takenAt = takenAt;
-        this.deadline = ClientDeadline.of(takenAt, sentNotBefore, prompt.deadlineNs());
+        this.deadline = deadline;
     }
 
     /** One side is done; true for the second. */
--- a/router/src/test/java/streamproxy/routing/ActorFixtures.java
+++ b/router/src/test/java/streamproxy/routing/ActorFixtures.java
@@ -1,6 +1,7 @@
 package streamproxy.routing;
 
 import streamproxy.decision.SettingsText;
+import streamproxy.dispatch.RuleMonitor;
 import streamproxy.limits.ConnectionLimits;
 import streamproxy.transport.Budget;
 import streamproxy.transport.QuietConnections;
@@ -41,6 +42,6 @@
     /** What replicas share that hold so many connections together. */
     static Replicas.Desk replicas(Clock clock, QuietConnections quiet, ConnectionLimits limits, int allMost) {
         return new Replicas.Desk(SETTINGS.deployment(), SETTINGS.reportLayout(), new Budget(allMost), clock, quiet, () -> limits,
-                new Watchdog(Records.NONE));
+                new Watchdog(Records.NONE), RuleMonitor.silent());
     }
 }
--- a/router/src/test/java/streamproxy/routing/ClientConnectionTest.java
+++ b/router/src/test/java/streamproxy/routing/ClientConnectionTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import streamproxy.dispatch.RuleMonitor;
 import streamproxy.lifecycle.DrainState;
 import streamproxy.limits.RetryAfterSchedule;
 import streamproxy.limits.ConnectionLimits;
@@ -28,7 +29,7 @@
         QuietConnections quiet = new QuietConnections();
         quiet.start();
         ClientConnections all = new ClientConnections(new ClientConnections.Desk(null, new Clock(), new AtomicReference<>(), List.of(),
-                new Budget(1), new RecentRequestIds(), quiet, new Timers(), () -> true, () -> DrainState.SERVING, new RetryAfterSchedule(1), 0, Records.NONE, new Budget(1)),
+                new Budget(1), new RecentRequestIds(), quiet, new Timers(), () -> true, () -> DrainState.SERVING, new RetryAfterSchedule(1), 0, Records.NONE, new Budget(1), RuleMonitor.silent()),
                 ConnectionLimits.of(1024, 192, 48L << 20, new ConnectionLimits.Wishes(1, 0, 0, 0, 0, 0, 3, 2)));
         try (ServerSocket peers = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
             all.comes(connection(peers));
--- a/router/src/test/java/streamproxy/routing/ExchangeTest.java
+++ b/router/src/test/java/streamproxy/routing/ExchangeTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import streamproxy.dispatch.RuleMonitor;
 import streamproxy.lifecycle.DrainState;
 import streamproxy.limits.RetryAfterSchedule;
 import streamproxy.limits.ConnectionLimits;
@@ -45,7 +46,7 @@
         module = new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(ActorFixtures.replicas(clock, quiet, limits, 10)));
         listener = new Listener(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), new ClientConnections(
                 new ClientConnections.Desk(module, clock, classes, List.of(), new Budget(1 << 20), new RecentRequestIds(), quiet, timers,
-                        () -> true, () -> DrainState.SERVING, new RetryAfterSchedule(1), 0, Records.NONE, new Budget(1 << 20)), limits));
+                        () -> true, () -> DrainState.SERVING, new RetryAfterSchedule(1), 0, Records.NONE, new Budget(1 << 20), RuleMonitor.silent()), limits));
         listener.start();
         client = new Socket(listener.address().getAddress(), listener.address().getPort());
         client.setSoTimeout(15_000);
--- a/router/src/test/java/streamproxy/stories/OperatorIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/OperatorIntegrationTest.java
@@ -27,7 +27,8 @@
 
     @Test public void healthSaysYesOnceTheProcessServesAndOtherCallsAreNo() throws Exception {
         withOperator(box(SERVES));
-        assertTrue(call("GET", "/admin/health").startsWith("HTTP/1.1 200 "));
+        String health = call("GET", "/admin/health");
+        assertTrue(health, health.startsWith("HTTP/1.1 200 ") && health.contains("rules broken: none"));
         assertTrue(call("GET", "/admin/nothing").startsWith("HTTP/1.1 404 "));
         assertTrue(call("GET", "/admin/quiesce").startsWith("HTTP/1.1 405 "));
         assertTrue("clients are not answered there", call("GET", "/ready").startsWith("HTTP/1.1 404 "));
