Soak fleets of routers over shared replicas while system calls, links and the list service fail

A seed draws for each router overlapping faults of accept, socket, connect, waits, reads, writes and log writes, stops of up to 0.12 s, signals and operators' calls in series, for some a crowd or a second process; for all of them links that delay, reset or half-close, a list service that goes away or falls silent, replicas that drain. Clients use open connections up to the kill at its earliest.

--- a/lab/src/main/java/streamproxy/lab/StandIns.java
+++ b/lab/src/main/java/streamproxy/lab/StandIns.java
@@ -84,6 +84,7 @@
     }
 
     private final List<ServerSocket> boxes = new ArrayList<>();
+    private final List<Integer> ports = new ArrayList<>(); // as the list names them
     private final ServerSocket list;
     private final AtomicLong served = new AtomicLong();
     private final AtomicInteger connections = new AtomicInteger();
@@ -107,6 +108,7 @@
             states.add("ready");
             boots.add(0L);
             boxes.add(open(new Box(attempted, prompts)));
+            ports.add(boxes.get(i).getLocalPort());
         }
         list = open(this::list);
     }
@@ -227,6 +229,12 @@
         return List.copyOf(changes.subList(Math.min(told, changes.size()), changes.size()));
     }
 
+    /** From now on the list names another port for the box, whose own this gives back. */
+    public synchronized int advertise(int box, int port) {
+        ports.set(box, port);
+        return boxes.get(box).getLocalPort();
+    }
+
     /** From now on the list says that of the box: {@code ready}, {@code draining} or {@code gone}. */
     public synchronized void tell(int box, String state) {
         states.set(box, state);
@@ -258,7 +266,7 @@
     }
 
     private String entry(int i) {
-        return "{\"uid\":\"s-" + i + "\",\"endpoint\":\"127.0.0.1:" + boxes.get(i).getLocalPort()
+        return "{\"uid\":\"s-" + i + "\",\"endpoint\":\"127.0.0.1:" + ports.get(i)
                 + "\",\"az\":\"a\",\"model\":\"k\",\"pod_group\":0,\"state\":\"" + states.get(i) + "\","
                 + "\"capacity_hint\":1.0,\"boot_ms\":" + boots.get(i) + "}";
     }
--- a/lab/src/main/java/streamproxy/lab/soak/SoakBreak.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakBreak.java
@@ -21,7 +21,9 @@
         /** The process did not start, ended by itself, or failed. */
         PROCESS,
         /** The process did not end though nothing was under way any more. */
-        HUNG
+        HUNG,
+        /** The process itself counted a rule that was broken. */
+        COUNTED
     }
 
     @Override public String toString() { return rule + ": " + text; }
--- a/lab/src/main/java/streamproxy/lab/soak/SoakCommand.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -18,9 +19,12 @@
 @Command(name = "soak", mixinStandardHelpOptions = true,
         description = {"Plays short lives of a router as a real process under load: clients use each connection for as long as it is open,",
                 "signals and operators' calls come in series, and the kill comes at its earliest. Each life is drawn from a seed and judged."},
-        footer = {"", "Exit codes: 0 no rule was broken, 1 one was, 2 wrong usage.", "", "Examples:",
-                "  lab soak --seed 1 --lives 50 --at-once 3 --out out", "  lab soak --seed 17 --out out     # one life alone"})
+        footer = {"", "Exit codes: 0 no rule was broken, 1 one was, 2 wrong usage, 3 faults that cannot be read.", "", "Examples:",
+                "  lab soak --seed 1 --lives 50 --at-once 3 --out out", "  lab soak --seed 17 --out out     # one life alone",
+                "  lab soak --seed 1 --lives 50 --routers 24 --out out     # fleets under faults"})
 public final class SoakCommand implements Callable<Integer> {
+    private static final int UNUSABLE = 3;
+
     @Option(names = "--seed", defaultValue = "1", description = "Of the first life; those after it count on. ${DEFAULT-VALUE} by default.")
     private long seed;
 
@@ -30,6 +34,15 @@
     @Option(names = "--at-once", defaultValue = "1", description = "How many are played at a time; ${DEFAULT-VALUE} by default.")
     private int atOnce;
 
+    @Option(names = "--routers", defaultValue = "0", paramLabel = "N",
+            description = "Plays that many routers beside each other in each life, over the same replicas, while system calls and links fail; "
+                    + "0, the default, plays one router without faults.")
+    private int routers;
+
+    @Option(names = "--faults", paramLabel = "FOLDER",
+            description = "With --routers: plays the faults of an earlier run again, from its folder, in place of those that the seed draws.")
+    private Path faults;
+
     @Option(names = "--jar", defaultValue = "router/target/streamproxy.jar", paramLabel = "FILE",
             description = "The router's jar; ${DEFAULT-VALUE} by default.")
     private Path jar;
@@ -43,6 +56,9 @@
 
     @Override public Integer call() throws Exception {
         Path folder = out == null ? Files.createTempDirectory("streamproxy-soak") : out;
+        if (routers > 0) {
+            return playFleets(folder);
+        }
         List<SoakRun.Outcome> outcomes = play(jar, flags, seed, lives, atOnce, folder);
         outcomes.forEach(SoakCommand::print);
         long broken = outcomes.stream().filter(outcome -> !outcome.breaks().isEmpty()).count();
@@ -52,17 +68,53 @@
         return broken == 0 ? 0 : 1;
     }
 
-    /** Plays so many lives with seeds from that one on. */
-    static List<SoakRun.Outcome> play(Path jar, String flags, long seed, int lives, int atOnce, Path folder) throws Exception {
+    private int playFleets(Path folder) throws Exception {
+        int broken = 0;
+        for (long life = seed; life < seed + lives; life++) {
+            List<FaultPlan> plans;
+            try {
+                plans = faults == null ? FleetSoak.draw(life, routers) : plans(faults, routers);
+            } catch (FaultPlan.Malformed | NoSuchFileException e) {
+                System.err.println("lab soak: " + e.getMessage());
+                return UNUSABLE;
+            }
+            FleetSoak.Outcome outcome = new FleetSoak(life, plans, command(jar, flags), folder.resolve("seed-" + life)).play();
+            System.out.printf("seed %d: %d routers, %d requests, %d served, %d breaks%n", life, routers, outcome.requests(), outcome.served(),
+                    outcome.breaks().size());
+            outcome.breaks().forEach(found -> System.out.println("  " + found));
+            broken += outcome.breaks().isEmpty() ? 0 : 1;
+        }
+        System.out.printf("%d fleets, %d with a break; logs in %s%n", lives, broken, folder);
+        return broken == 0 ? 0 : 1;
+    }
+
+    /** The faults that a run's folder has written down. */
+    private static List<FaultPlan> plans(Path folder, int routers) throws IOException, FaultPlan.Malformed {
+        List<FaultPlan> plans = new ArrayList<>();
+        for (int router = 0; router < routers; router++) {
+            plans.add(FaultPlan.read(Files.readAllLines(folder.resolve("router-" + router).resolve("plan.txt"))));
+        }
+        return plans;
+    }
+
+    /** What starts a router of that jar. */
+    static List<String> command(Path jar, String flags) {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(Arrays.stream(flags.split(" ")).filter(flag -> !flag.isBlank()).toList());
         command.addAll(List.of("-jar", jar.toAbsolutePath().toString(), "serve"));
+        return command;
+    }
+
+    /** Plays so many lives with seeds from that one on. */
+    static List<SoakRun.Outcome> play(Path jar, String flags, long seed, int lives, int atOnce, Path folder) throws Exception {
+        List<String> command = command(jar, flags);
         ExecutorService players = Executors.newFixedThreadPool(atOnce);
         try {
             List<Future<SoakRun.Outcome>> under = new ArrayList<>();
             for (long life = seed; life < seed + lives; life++) {
-                SoakRun run = run(life, command, folder);
-                under.add(players.submit(run::play));
+                SoakPlan plan = SoakPlan.of(life);
+                Path own = folder.resolve("seed-" + life);
+                under.add(players.submit(() -> SoakRun.alone(plan, command, own)));
             }
             List<SoakRun.Outcome> outcomes = new ArrayList<>();
             for (Future<SoakRun.Outcome> future : under) {
@@ -74,10 +126,6 @@
         }
     }
 
-    private static SoakRun run(long life, List<String> command, Path folder) throws IOException {
-        return new SoakRun(SoakPlan.of(life), command, folder.resolve("seed-" + life));
-    }
-
     private static void print(SoakRun.Outcome outcome) {
         System.out.printf("seed %d: %d requests, %d served, %d refused, %d failed, %d crossed, ended %d ms after SIGTERM, %d breaks%n", outcome.seed(),
                 outcome.requests(), outcome.served(), outcome.refused(), outcome.failed(), outcome.crossed(), outcome.endedAfterMs(), outcome.breaks().size());
--- a/lab/src/main/java/streamproxy/lab/soak/SoakPlan.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakPlan.java
@@ -53,6 +53,11 @@
         afterTerm = List.copyOf(afterTerm);
     }
 
+    /** The same life with so many clients, and a crowd in proportion. */
+    SoakPlan withClients(int fewer) {
+        return new SoakPlan(seed, deadlineMs, fewer, crowd * fewer / CLIENTS, events, replaced, afterTerm);
+    }
+
     static SoakPlan of(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         long deadline = DEADLINES_MS[random.nextInt(DEADLINES_MS.length)];
--- a/lab/src/main/java/streamproxy/lab/soak/SoakReplicas.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakReplicas.java
@@ -34,7 +34,7 @@
     /** What a replica does with an attempt. */
     private enum Trouble { NONE, HANGS, FAILS, TURNED_AWAY, RESETS, BREAKS_OFF }
 
-    private static final int COUNT = 3;
+    private static final int FOR_ONE = 3;
     private static final int TROUBLE_IN = 12;
     private static final int FIRST_TOKEN_MOST_MS = 250;
     private static final int SHORT_STREAM_MS = 300;
@@ -49,12 +49,20 @@
     private final Map<String, Integer> tries = new ConcurrentHashMap<>();
     private final long seed;
     private final StandIns standIns;
+    private final SoakLinks links; // null: routers reach the replicas themselves
 
-    SoakReplicas(long seed) throws IOException {
+    private SoakReplicas(long seed, int count, boolean linked) throws IOException {
         this.seed = seed;
-        standIns = new StandIns(COUNT, new Prompts());
+        standIns = new StandIns(count, new Prompts());
+        links = linked ? new SoakLinks(standIns, count) : null;
     }
 
+    /** A few replicas for one router. */
+    static SoakReplicas forOne(long seed) throws IOException { return new SoakReplicas(seed, FOR_ONE, false); }
+
+    /** So many, each behind a proxy. */
+    static SoakReplicas behindLinks(long seed, int count) throws IOException { return new SoakReplicas(seed, count, true); }
+
     StandIns standIns() { return standIns; }
 
     Queue<Attempt> attempts() { return attempts; }
@@ -64,8 +72,11 @@
         return events.endsWith("data: [DONE]\n\n") && streams.getOrDefault(id, new ConcurrentLinkedQueue<>()).contains(events);
     }
 
-    /** Whether a replica broke off a stream of that request. */
-    boolean brokeOff(String id) { return brokenOff.contains(id); }
+    /** Whether a replica, or the link to one, broke off a stream of that request. */
+    boolean brokeOff(SoakRequest request) { return brokenOff.contains(request.id) || links != null && links.brokeBetween(request.sentAt, request.endedAt); }
+
+    /** The proxies before the replicas; null where there are none. */
+    SoakLinks links() { return links; }
 
     private boolean serve(StandIns.Message message, Socket socket) throws IOException, InterruptedException {
         String id = field(message.head(), "Req-Id");
@@ -138,5 +149,10 @@
         return null;
     }
 
-    @Override public void close() throws IOException { standIns.close(); }
+    @Override public void close() throws IOException {
+        if (links != null) {
+            links.close();
+        }
+        standIns.close();
+    }
 }
--- a/lab/src/main/java/streamproxy/lab/soak/SoakRun.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakRun.java
@@ -7,17 +7,26 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import streamproxy.lab.RouterProcess;
+import streamproxy.lab.faults.FaultInjector;
 import streamproxy.lab.fleet.DaemonProcess;
 import streamproxy.lab.soak.SoakBreak.Rule;
 
-/** Plays one plan on a router as a real process, and judges it. */
+/** Plays one plan on a router as a real process, with faults of its system calls where there are some, and judges its clients' side. */
 final class SoakRun {
+    /** When the clients of a life come, once its router is ready. */
+    interface Start {
+        void await() throws Exception;
+    }
+
     /** What a run came to. */
-    record Outcome(long seed, int requests, int served, int refused, int failed, int crossed, long endedAfterMs, List<SoakBreak> breaks) { }
+    record Outcome(long seed, int requests, int served, int refused, int failed, int crossed, long endedAfterMs, List<SoakBreak> breaks) {
+        Outcome with(List<SoakBreak> all) { return new Outcome(seed, requests, served, refused, failed, crossed, endedAfterMs, List.copyOf(all)); }
+    }
 
     private static final int DESCRIPTORS = 1_024;
     private static final int MEMORY_MB = 192;
@@ -40,37 +49,61 @@
             "OutOfMemoryError", "StackOverflowError", "stands still");
 
     private final SoakPlan plan;
+    private final FaultPlan faults;
     private final List<String> command;
     private final Path folder;
+    private final SoakReplicas replicas;
+    private final Start start;
+    private final FaultInjector injector; // null: no system call fails
     private final List<SoakBreak> breaks = new ArrayList<>();
     private final List<SoakClient> clients = new ArrayList<>();
     private final InetSocketAddress listen = RouterProcess.free();
-    private SoakReplicas replicas;
     private DaemonProcess router;
     private Path config;
     private long terminatedAt;
     private long killedAt;
     private long exitedAt;
 
-    /** @param command starts a router, without its environment */
-    SoakRun(SoakPlan plan, List<String> command, Path folder) throws IOException {
+    /**
+     * @param faults  what fails meanwhile
+     * @param command starts a router, without its environment
+     * @param start   when its clients come
+     */
+    SoakRun(SoakPlan plan, FaultPlan faults, List<String> command, Path folder, SoakReplicas replicas, Start start) throws IOException {
         this.plan = plan;
+        this.faults = faults;
         this.command = command;
         this.folder = folder;
+        this.replicas = replicas;
+        this.start = start;
+        Files.createDirectories(folder);
+        injector = faults.callsFail() ? new FaultInjector(folder.resolve("faults")) : null;
+    }
+
+    /** Plays one life by itself, without faults, and judges what reached its replicas, too. */
+    static Outcome alone(SoakPlan plan, List<String> command, Path folder) throws Exception {
+        try (SoakReplicas replicas = SoakReplicas.forOne(plan.seed()); LabClock lab = new LabClock()) {
+            SoakRun run = new SoakRun(plan, FaultPlan.NONE, command, folder, replicas, () -> { });
+            Outcome outcome = run.play();
+            List<SoakBreak> breaks = new ArrayList<>(outcome.breaks());
+            new AttemptAudit(run.requests(), replicas, lab, breaks).judge();
+            return outcome.with(breaks);
+        }
     }
 
     Outcome play() throws Exception {
-        Files.createDirectories(folder);
         config = folder.resolve("config.json");
-        try (SoakReplicas made = new SoakReplicas(plan.seed()); SoakFront front = new SoakFront(listen); SoakCrowd crowd = new SoakCrowd(listen)) {
-            replicas = made;
+        try (SoakFront front = new SoakFront(listen); SoakCrowd crowd = new SoakCrowd(listen)) {
             writeConfiguration(plan.deadlineMs());
             router = process("n0");
             router.start();
-            if (awaitReady(router)) {
+            boolean ready = awaitReady(router);
+            start.await();
+            if (ready) {
                 front.start();
                 List<Thread> threads = startClients(front);
                 crowd.connect(plan.crowd());
+                Thread fails = startFaults();
                 TimeUnit.MILLISECONDS.sleep(WARM_UP_MS);
                 for (SoakPlan.Event event : plan.events()) {
                     play(event);
@@ -78,6 +111,7 @@
                 DaemonProcess successor = plan.replaced() ? replace() : null;
                 terminate();
                 awaitEnd(successor);
+                fails.interrupt();
                 endClients(threads, successor);
             }
         } finally {
@@ -98,7 +132,19 @@
         InetSocketAddress operators = RouterProcess.free();
         Map<String, String> told = Map.of("NODE_NAME", name, "NODE_LISTEN", "127.0.0.1:" + listen.getPort(), "NODE_OPERATOR",
                 "127.0.0.1:" + operators.getPort(), "NODE_DISCOVERY", replicas.standIns().listAddress(), "NODE_CONFIG", config.toString());
-        return new DaemonProcess(name, command, told, operators, folder.resolve(name + ".log"));
+        Map<String, String> environment = new HashMap<>(told);
+        if (injector != null) {
+            environment.putAll(injector.environment());
+        }
+        return new DaemonProcess(name, command, environment, operators, folder.resolve(name + ".log"));
+    }
+
+    /** Plays the faults beside the events, and writes down when each began and how many calls it met. */
+    private Thread startFaults() {
+        Thread plays = new Thread(new FaultPlayer(faults, injector, router, folder.resolve("faults.txt")), "faults");
+        plays.setDaemon(true);
+        plays.start();
+        return plays;
     }
 
     private boolean awaitReady(DaemonProcess process) throws InterruptedException {
@@ -277,12 +323,13 @@
         try {
             process.log().lines().filter(line -> FAULTS_IN_LOG.stream().anyMatch(line::contains))
                     .forEach(line -> add(Rule.PROCESS, process.name() + " logged: " + line));
+            process.log().lines().filter(line -> line.contains("rule broken: ")).forEach(line -> add(Rule.COUNTED, process.name() + " logged: " + line));
         } catch (IOException e) {
             add(Rule.PROCESS, process.name() + " left no log: " + e.getMessage());
         }
     }
 
-    private List<SoakRequest> requests() { return clients.stream().flatMap(client -> client.requests().stream()).toList(); }
+    List<SoakRequest> requests() { return clients.stream().flatMap(client -> client.requests().stream()).toList(); }
 
     private int count(SoakRequest.End end) { return (int) requests().stream().filter(request -> request.end == end).count(); }
 
--- a/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
+++ b/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
@@ -23,7 +23,7 @@
     private final long terminatedAt = System.nanoTime();
     private SoakReplicas replicas;
 
-    @BeforeEach void start() throws Exception { replicas = new SoakReplicas(1); }
+    @BeforeEach void start() throws Exception { replicas = SoakReplicas.forOne(1); }
 
     @AfterEach void end() throws Exception { replicas.close(); }
 
@@ -38,6 +38,9 @@
     private List<Rule> judged(SoakRequest request, long killedAfterNs) {
         List<SoakBreak> breaks = new ArrayList<>();
         new SoakAudit(List.of(request), replicas, terminatedAt, killedAfterNs == 0 ? 0 : terminatedAt + killedAfterNs, breaks).judge();
+        try (LabClock lab = new LabClock()) {
+            new AttemptAudit(List.of(request), replicas, lab, breaks).judge();
+        }
         return breaks.stream().map(SoakBreak::rule).toList();
     }
 
--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -184,6 +184,9 @@
             attempt.writtenAt = facts.now();
             AttemptGate.broken(attempt.bounds, told, attempt.writtenAt).forEach(rule -> box.rules.broken(rule, attempt.request.prompt.id()));
             noteHeldUp(attempt, attempt.writtenAt - lookedAt);
+            Logger.debug("attempt {} of {} at {} is told {} ms, {} ms after the request was read; written in {} ms", attempt.number,
+                    attempt.request.prompt.id(), box.id, TimeUnit.NANOSECONDS.toMillis(told),
+                    TimeUnit.NANOSECONDS.toMillis(lookedAt - attempt.request.takenAt), TimeUnit.NANOSECONDS.toMillis(attempt.writtenAt - lookedAt));
             HttpHead head = reader.answer(attempt.endsAt - attempt.writtenAt + BEYOND);
             answered = true;
             LoadReport report = report(head.get("Srv-Load"));
