Try again for some seconds what cannot be opened at a start

Operators saw a second process end with exit code 3 ('Too many open files in system') where one socket call failed for a moment as it started: an end of the new process is a crash. Cause: listeners and selectors were opened once. Evidence: aProcessStartsThoughSocketsCannotBeMadeForAMoment fails without the wait (not ready in 30 s, the process has ended) and passes with it. What fails is tried again each 50 ms for 5 s, with a warning; an address that cannot be had (BindException) is said at once, as before.

--- a/lab/src/test/java/streamproxy/lab/faults/RouterUnderFaults.java
+++ b/lab/src/test/java/streamproxy/lab/faults/RouterUnderFaults.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import streamproxy.lab.RouterProcess;
 import streamproxy.lab.Setup;
 import streamproxy.lab.StandIns;
@@ -38,6 +39,12 @@
     private final InetSocketAddress listen = RouterProcess.free();
 
     RouterUnderFaults(int replicas) throws Exception {
+        this(replicas, none -> { });
+        awaitReady();
+    }
+
+    /** One that meets faults from its start on, and need not be ready. */
+    RouterUnderFaults(int replicas, Consumer<FaultInjector> first) throws Exception {
         Path folder = Files.createTempDirectory("faults");
         standIns = new StandIns(replicas, this::serve);
         faults = new FaultInjector(folder.resolve("faults"));
@@ -51,10 +58,12 @@
         command.addAll(Arrays.asList(Setup.FLAGS.split(" ")));
         command.addAll(List.of("-jar", JAR.toAbsolutePath().toString(), "serve"));
         process = new DaemonProcess("n0", command, environment, operators, folder.resolve("log"));
+        first.accept(faults);
         process.start();
-        await("ready", () -> process.isAlive() && isReady());
     }
 
+    void awaitReady() throws InterruptedException { await("ready", () -> process.isAlive() && isReady()); }
+
     private boolean isReady() {
         try (Socket socket = connect()) {
             return status(socket, "GET /ready HTTP/1.1\r\nHost: lab\r\n\r\n") == 200;
--- a/lab/src/test/java/streamproxy/lab/faults/SystemCallFaultsIntegrationTest.java
+++ b/lab/src/test/java/streamproxy/lab/faults/SystemCallFaultsIntegrationTest.java
@@ -86,6 +86,14 @@
         assertTrue(router.faults.hits(SystemCall.READ) > CLIENTS, "reads were interrupted");
     }
 
+    @Test void aProcessStartsThoughSocketsCannotBeMadeForAMoment() throws Exception {
+        try (RouterUnderFaults starting = new RouterUnderFaults(1, faults -> faults.begin(SystemCall.SOCKET, Fault.failing(Errno.ENFILE, 1)))) {
+            RouterUnderFaults.await("its sockets fail", () -> starting.logs("Too many open files in system"));
+            starting.faults.endAll();
+            starting.awaitReady();
+        }
+    }
+
     @Test void theBacklogIsAnsweredThoughAcceptFailsWhileTheRouterLeaves() throws Exception {
         router.faults.begin(SystemCall.ACCEPT, Fault.failing(Errno.ENFILE, 1));
         try (Socket client = router.connect()) {
--- a/router/src/main/java/streamproxy/transport/Listener.java
+++ b/router/src/main/java/streamproxy/transport/Listener.java
@@ -58,17 +58,27 @@
 
     public Listener(InetSocketAddress at, Gate gate) throws IOException {
         this.gate = gate;
-        server = ServerSocketChannel.open();
-        server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        if (server.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
-            server.setOption(StandardSocketOptions.SO_REUSEPORT, true); // a new process starts beside the old one
-        }
-        server.bind(at, BACKLOG);
-        server.configureBlocking(false);
-        selector = Selector.open();
+        server = Opening.retrying(() -> listening(at));
+        selector = Opening.retrying(Selector::open);
         server.register(selector, SelectionKey.OP_ACCEPT);
     }
 
+    private static ServerSocketChannel listening(InetSocketAddress at) throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open();
+        try {
+            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            if (server.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+                server.setOption(StandardSocketOptions.SO_REUSEPORT, true); // a new process starts beside the old one
+            }
+            server.bind(at, BACKLOG);
+            server.configureBlocking(false);
+            return server;
+        } catch (IOException | RuntimeException e) {
+            server.close();
+            throw e;
+        }
+    }
+
     public InetSocketAddress address() throws IOException { return (InetSocketAddress) server.getLocalAddress(); }
 
     public void start() { thread = Threads.start("listener", this::run); }
--- /dev/null
+++ b/router/src/main/java/streamproxy/transport/Opening.java
@@ -0,0 +1,46 @@
+package streamproxy.transport;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/** Opens what a process needs at its start, again and again while the machine is short of descriptors, buffers or memory. */
+final class Opening {
+    /** What is opened. */
+    interface Opener<T> {
+        T open() throws IOException;
+    }
+
+    private static final long MOST_NS = TimeUnit.SECONDS.toNanos(5);
+    private static final long PAUSE_MS = 50;
+
+    private Opening() { }
+
+    /** @throws IOException where the address cannot be had, or nothing could be opened for some seconds */
+    static <T> T retrying(Opener<T> opener) throws IOException {
+        long until = System.nanoTime() + MOST_NS;
+        while (true) {
+            try {
+                return opener.open();
+            } catch (BindException e) {
+                throw e; // that does not pass
+            } catch (IOException e) {
+                if (System.nanoTime() - until >= 0) {
+                    throw e;
+                }
+                Logger.warn("cannot be opened yet, and is tried again: {}", e.getMessage());
+                pause();
+            }
+        }
+    }
+
+    private static void pause() throws IOException {
+        try {
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+}
--- a/router/src/main/java/streamproxy/transport/QuietConnections.java
+++ b/router/src/main/java/streamproxy/transport/QuietConnections.java
@@ -123,7 +123,7 @@
     private long quietAt = System.nanoTime();
     private final TimerWheel wheel = new TimerWheel(TICK_SHIFT, System.nanoTime());
 
-    public QuietConnections() throws IOException { selector = Selector.open(); }
+    public QuietConnections() throws IOException { selector = Opening.retrying(Selector::open); }
 
     public void start() { Threads.start("quiet connections", this::run); }
 
