--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -108,7 +108,9 @@
             then = reject(e);
         } catch (IOException e) {
             reason = CloseReason.CLIENT_LEFT;
-            if (at.isSpared()) {
+            if (begun) {
+                Logger.debug(e, "a client's connection ended within its answer");
+            } else if (at.isSpared()) {
                 then = sayNoRoom();
             } else if (whole.isOver()) {
                 then = reject(notWholeInTime());
