Serve requests up to 1.8 s after quiesce; name the graces of a drain by their source

DrainState left 0.5 s of the 2 s in which no request may come for a router that is held up, where the operators' term is 0.15 s: requests between 1.5 and 1.8 s were refused that could be served. 0.15 s and 0.05 s for the call's way are kept back now, each a constant with its source; the comments that told their story are gone.

--- a/decision/src/main/java/streamproxy/lifecycle/DrainState.java
+++ b/decision/src/main/java/streamproxy/lifecycle/DrainState.java
@@ -30,29 +30,23 @@
     /** A process that takes what comes. */
     public static final DrainState SERVING = new DrainState(Stage.SERVING, 0, false, 0);
 
-    /**
-     * For so long after an operator's call requests are still served. Operators look 4 s after it and allow no request of
-     * the last 2 s (DAYS.md, "Draining a router"), so requests may be served for less than 2 s; half a second of that is
-     * left for a router that is held up between the client's last byte and this decision.
-     */
-    public static final long REQUEST_GRACE_NS = TimeUnit.MILLISECONDS.toNanos(1_500);
-    /**
-     * For so long after the process has learned of SIGTERM requests are still served. What comes 0.7 s after SIGTERM or later
-     * must be answered before the kill (PROTOCOL, "Figures"), which no stream can be sure of; the process learns of the
-     * signal late, and may be held up for 0.15 s between the client's last byte and this decision (STANDING.md).
-     */
-    public static final long LEAVING_GRACE_NS = TimeUnit.MILLISECONDS.toNanos(550);
+    /** A router may be held up for so long between a client's last byte and its decision (STANDING.md). */
+    private static final long HELD_UP_NS = TimeUnit.MILLISECONDS.toNanos(150);
+    /** A signal or a call may take so long on its way. */
+    private static final long ON_THE_WAY_NS = TimeUnit.MILLISECONDS.toNanos(50);
+    /** Operators allow no request this long after their call (DAYS.md). */
+    private static final long NO_REQUEST_AFTER_NS = TimeUnit.MILLISECONDS.toNanos(2_000);
+    /** For so long after an operator's call requests are still served. */
+    public static final long REQUEST_GRACE_NS = NO_REQUEST_AFTER_NS - HELD_UP_NS - ON_THE_WAY_NS;
+    /** What comes so long after SIGTERM must be answered before the kill (PROTOCOL), which no stream can be sure of. */
+    private static final long ANSWERED_BEFORE_KILL_NS = TimeUnit.MILLISECONDS.toNanos(700);
+    /** For so long after the process has learned of SIGTERM requests are still served. */
+    public static final long LEAVING_GRACE_NS = ANSWERED_BEFORE_KILL_NS - HELD_UP_NS;
     /** A connection that has just come waits so long for its first request, which may be on its way. */
     public static final long FIRST_REQUEST_NS = TimeUnit.MILLISECONDS.toNanos(100);
-    /**
-     * So long after an operator's call new connections may come in the ordinary way, as a front notices the call within
-     * 0.1 s and goes on sending for 0.2 s (DAYS.md); until then they may take their time with their first request.
-     */
+    /** For so long after an operator's call a front may go on sending new connections (DAYS.md: 0.3 s). */
     public static final long NEW_CONNECTIONS_NS = TimeUnit.MILLISECONDS.toNanos(1_000);
-    /**
-     * So long after an operator's call no request that has begun to come is waited for any longer. Until then a slow client hears
-     * its refusal behind its last byte: one that reads no answer before it has written all would find a reset in its place.
-     */
+    /** So long after an operator's call no request that has begun to come is waited for any longer; nothing is held at 4 s (DAYS.md). */
     public static final long READ_GRACE_NS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
     /** The same process, which has entered another stage at that time. */
