--- a/lab/src/main/java/streamproxy/lab/RouterProcess.java
+++ b/lab/src/main/java/streamproxy/lab/RouterProcess.java
@@ -12,6 +12,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -23,6 +25,7 @@
     private static final int PORT_FIRST = 10_000;
     private static final int PORT_END = 32_000;
     private static final int PORT_TRIES = 100;
+    private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
     private static final int TICKS_PER_S = 100; // of /proc's CPU times, as Linux has it
 
     private final Process process;
@@ -82,7 +85,7 @@
     }
 
     /**
-     * An address of the loopback that nobody listens at now, for a process that is started a moment later. Its port lies below
+     * An address of the loopback that nobody listens at now, for a process that is started a moment later, and given once. Its port lies below
      * those that systems draw for connections (from 32,768 on with Linux, from 49,152 by RFC 6335): one of these may be taken by
      * any connection that some process opens meanwhile.
      *
@@ -91,6 +94,9 @@
     public static InetSocketAddress free() throws IOException {
         for (int i = 0; i < PORT_TRIES; i++) {
             int port = ThreadLocalRandom.current().nextInt(PORT_FIRST, PORT_END);
+            if (!GIVEN.add(port)) {
+                continue; // its router may not listen there yet, and routers share a port with whoever else asks for that
+            }
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
                 return (InetSocketAddress) socket.getLocalSocketAddress();
             } catch (BindException taken) {
