Keep an eighth of the clients' limit through a want of descriptors

A limit is lowered to nine tenths of what is held, but no further than an eighth of what is configured; one connection that can be spared is closed in any case. AdmissionTest has the case.

--- a/decision/src/main/java/streamproxy/limits/Admission.java
+++ b/decision/src/main/java/streamproxy/limits/Admission.java
@@ -42,6 +42,8 @@
     public record Counts(int held, int active, long addressFull, long spared, long activeFull) { }
 
     private static final double LEFT_TO_CLIENTS = 0.9;
+    /** The limit is not lowered below that part of the configured one. */
+    private static final int LEAST_PART = 8;
 
     private final EvictionOrder willing;
     private final Map<Object, Address> addresses = new HashMap<>();
@@ -72,7 +74,7 @@
      * Returns how many that is.
      */
     public int outOfDescriptors(long now) {
-        clientsMost.lower((int) (LEFT_TO_CLIENTS * held), now);
+        clientsMost.lower(Math.max((int) (LEFT_TO_CLIENTS * held), limits.clientsMost() / LEAST_PART), now);
         return clientsMost.get();
     }
 
--- a/decision/src/test/java/streamproxy/limits/AdmissionTest.java
+++ b/decision/src/test/java/streamproxy/limits/AdmissionTest.java
@@ -136,6 +136,18 @@
         assertFalse(stated.isFull());
     }
 
+    @Test void aWantOfDescriptorsWithFewClientsTurnsNoRequestAway() {
+        Admission stated = new Admission(limits(100, 50, 100), 500 * MS);
+        Guest one = new Guest();
+        Guest two = new Guest();
+        stated.comes(one, "a", 0);
+        stated.comes(two, "a", 0);
+        stated.outOfDescriptors(0);
+        assertTrue(stated.asks(one, 0));
+        assertTrue(stated.asks(two, 0));
+        assertFalse(stated.isFull());
+    }
+
     private static void taken(Admission admission, int count) {
         for (int i = 0; i < count; i++) {
             assertEquals(Newcomer.TAKEN, admission.comes(new Guest(), "a", 0));
--- a/lab/src/main/java/streamproxy/lab/StandIns.java
+++ b/lab/src/main/java/streamproxy/lab/StandIns.java
@@ -229,6 +229,9 @@
         return List.copyOf(changes.subList(Math.min(told, changes.size()), changes.size()));
     }
 
+    /** Where the box itself listens. */
+    public int port(int box) { return boxes.get(box).getLocalPort(); }
+
     /** From now on the list names another port for the box, whose own this gives back. */
     public synchronized int advertise(int box, int port) {
         ports.set(box, port);
--- a/lab/src/main/java/streamproxy/lab/soak/SoakFront.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakFront.java
@@ -33,14 +33,17 @@
     boolean sends() { return ready || lastYesAt != 0 && System.nanoTime() - lastYesAt < SENDS_ON_NS; }
 
     /** One question of its own; whether the router says yes. */
-    static boolean isReady(InetSocketAddress router) {
+    static boolean isReady(InetSocketAddress router) { return readiness(router).endsWith(" 200"); }
+
+    /** One question of its own; the beginning of the answer, or what came in its place. */
+    static String readiness(InetSocketAddress router) {
         try (Socket socket = new Socket()) {
             socket.connect(router, ANSWER_MS);
             socket.setSoTimeout(ANSWER_MS);
             socket.getOutputStream().write(READY);
-            return new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).endsWith(" 200");
+            return new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
         } catch (IOException e) {
-            return false;
+            return String.valueOf(e.getMessage());
         }
     }
 
--- a/lab/src/main/java/streamproxy/lab/soak/SoakLinks.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakLinks.java
@@ -84,6 +84,8 @@
         }
     }
 
+    int port(int replica) { return listening.get(replica).getLocalPort(); }
+
     synchronized void delay(int replica, int ms) { delayMs[replica] = ms; }
 
     private synchronized int delayOf(int replica) { return delayMs[replica]; }
--- a/lab/src/main/java/streamproxy/lab/soak/SoakReplicas.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakReplicas.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -24,6 +25,10 @@
     /** What the stand-ins do with prompts. */
     private final class Prompts implements StandIns.Script {
         @Override public boolean answer(StandIns.Message message, Socket socket) throws IOException, InterruptedException {
+            if (message.head().startsWith(LabClock.CANARY)) {
+                socket.getOutputStream().write('y');
+                return false;
+            }
             attempts.add(new Attempt(message, System.nanoTime(), true));
             return serve(message, socket);
         }
@@ -75,6 +80,9 @@
     /** Whether a replica, or the link to one, broke off a stream of that request. */
     boolean brokeOff(SoakRequest request) { return brokenOff.contains(request.id) || links != null && links.brokeBetween(request.sentAt, request.endedAt); }
 
+    /** Where a canary goes that takes the way of an attempt. */
+    InetSocketAddress canaryWay() { return new InetSocketAddress("127.0.0.1", links == null ? standIns.port(0) : links.port(0)); }
+
     /** The proxies before the replicas; null where there are none. */
     SoakLinks links() { return links; }
 
--- a/lab/src/main/java/streamproxy/lab/soak/SoakRun.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakRun.java
@@ -31,6 +31,8 @@
     private static final int DESCRIPTORS = 1_024;
     private static final int MEMORY_MB = 192;
     private static final long START_MS = 30_000;
+    /** After so long the first process is told to leave, whether or not the second one serves (DAYS.md). */
+    private static final long SUCCESSOR_MS = 6_000;
     private static final long WARM_UP_MS = 400;
     private static final long LOOK_MS = 4_000;
     private static final long RECENT_NS = TimeUnit.SECONDS.toNanos(2);
@@ -82,7 +84,7 @@
 
     /** Plays one life by itself, without faults, and judges what reached its replicas, too. */
     static Outcome alone(SoakPlan plan, List<String> command, Path folder) throws Exception {
-        try (SoakReplicas replicas = SoakReplicas.forOne(plan.seed()); LabClock lab = new LabClock()) {
+        try (SoakReplicas replicas = SoakReplicas.forOne(plan.seed()); LabClock lab = new LabClock(replicas.canaryWay())) {
             SoakRun run = new SoakRun(plan, FaultPlan.NONE, command, folder, replicas, () -> { });
             Outcome outcome = run.play();
             List<SoakBreak> breaks = new ArrayList<>(outcome.breaks());
@@ -229,8 +231,9 @@
         }
         call("/admin/resume");
         sleepUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RESUMED_MS));
-        if (!SoakFront.isReady(listen)) {
-            add(Rule.DRAIN, "it says that it is not ready 2 s after resume");
+        String readiness = SoakFront.readiness(listen);
+        if (!readiness.endsWith(" 200")) {
+            add(Rule.DRAIN, "2 s after resume it says in place of yes: " + readiness);
         }
     }
 
@@ -248,21 +251,25 @@
         }
     }
 
-    /** Starts a second process beside the first; null where it did not come up. */
+    /** Starts a second process beside the first, which is told to leave once that one serves, or after some seconds. */
     private DaemonProcess replace() throws Exception {
         writeConfiguration(plan.deadlineMs());
         DaemonProcess next = process("n0-next");
         next.start();
-        long by = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MS);
-        while (System.nanoTime() < by && next.isAlive()) {
-            DaemonProcess.Reply health = next.get("/admin/health");
+        awaitHealth(next, SUCCESSOR_MS);
+        return next;
+    }
+
+    private static boolean awaitHealth(DaemonProcess process, long ms) throws InterruptedException {
+        long by = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        while (System.nanoTime() < by && process.isAlive()) {
+            DaemonProcess.Reply health = process.get("/admin/health");
             if (health != null && health.status() == 200) {
-                return next;
+                return true;
             }
             TimeUnit.MILLISECONDS.sleep(20);
         }
-        add(Rule.PROCESS, "the second process was not ready in time, or ended");
-        return next;
+        return false;
     }
 
     private void terminate() {
@@ -311,8 +318,8 @@
             }
         }
         if (successor != null) {
-            if (!successor.isAlive()) {
-                add(Rule.PROCESS, "the second process ended with " + successor.process().exitValue());
+            if (!awaitHealth(successor, START_MS)) {
+                add(Rule.PROCESS, "the second process " + (successor.isAlive() ? "does not serve" : "ended with " + successor.process().exitValue()));
             }
             successor.kill();
             judgeLog(successor);
--- a/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
+++ b/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
@@ -38,7 +38,7 @@
     private List<Rule> judged(SoakRequest request, long killedAfterNs) {
         List<SoakBreak> breaks = new ArrayList<>();
         new SoakAudit(List.of(request), replicas, terminatedAt, killedAfterNs == 0 ? 0 : terminatedAt + killedAfterNs, breaks).judge();
-        try (LabClock lab = new LabClock()) {
+        try (LabClock lab = new LabClock(replicas.canaryWay())) {
             new AttemptAudit(List.of(request), replicas, lab, breaks).judge();
         }
         return breaks.stream().map(SoakBreak::rule).toList();
--- a/router/src/main/java/streamproxy/routing/ClientConnections.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnections.java
@@ -143,8 +143,9 @@
             most = admission.outOfDescriptors(System.nanoTime());
         }
         Logger.warn("no descriptor is left: clients hold no more than {} for now", most);
-        while (isOver(most) && makeRoom()) {
-            continue;
+        boolean made = makeRoom(); // one in any case: whoever waits needs a descriptor
+        while (made && isOver(most)) {
+            made = makeRoom();
         }
     }
 
