Count prompts alone where a test looks for what was sent behind a client's end

In the play that failed (ten JVMs beside each other, debug log) the router had sent one attempt and kept none back, so what the replica had counted was no attempt of its. Routers of earlier tests go on asking their service discovery after their test, and a replica of a later test may get its port: the whole suite's log has 15 such calls (GET /v1/endpoints) at scripted replicas, in the run that failed and in one that passed. The test looks at prompts alone now, and shows them; its assertion is that there is none, as before. That a cut request is no attempt stays in the scripted replica, as the protocol has it.

--- a/router/src/test/java/streamproxy/stories/LeavingIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/LeavingIntegrationTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.Test;
@@ -33,6 +34,14 @@
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
 
+    /**
+     * The heads of the prompts that have come, and that nobody has taken. What is no prompt is a call of service discovery, by a router
+     * of an earlier test that still asks at a port which this replica has now.
+     */
+    private static List<String> prompts(ScriptedPeer replica) {
+        return replica.attempts.stream().map(ScriptedPeer.Exchange::head).filter(head -> head.startsWith("POST ")).toList();
+    }
+
     /**
      * A FIN ends a request whatever comes before it: nothing, the next request, or more than is kept for later. A half-close
      * cannot be told from a close, so it counts as one; and a reset says the same at once.
@@ -59,7 +68,7 @@
                 }
                 // Well before its deadline of 2.5 s, at which the attempt would end anyway.
                 assertTrue(way + " behind " + behind.length() + " bytes", ended.await(1_500, TimeUnit.MILLISECONDS));
-                assertEquals("what came behind is not sent on", 0, box.attempts.size());
+                assertEquals("what came behind is not sent on", List.of(), prompts(box));
                 await("its place is free", () -> router.clients().held() == 0);
                 router.close();
             }
