Reproduce the want of threads with thousands of replicas, known red

lab's injector lets pthread_create fail (EAGAIN, from a number of running threads on or always), anonymous mmap fail, and a connect reach its own socket. StandIns listens with one thread for any number of replicas, so that 3,200 ports fit one process.

--- a/lab/src/main/c/faults.c
+++ b/lab/src/main/c/faults.c
@@ -8,7 +8,9 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
@@ -20,11 +22,11 @@
 #include <unistd.h>
 
 /* In the order of SystemCall.java. */
-enum call { ACCEPT, SOCKET, CONNECT, WAIT, READ, WRITE, LOG, SLOTS };
+enum call { ACCEPT, SOCKET, CONNECT, WAIT, READ, WRITE, LOG, THREAD, MEMORY, SELF, SLOTS };
 
 struct slot {
     int32_t error;     /* errno to fail with; 0: the call is made */
-    int32_t most;      /* bytes that are read or written at most; 0: as many as asked for */
+    int32_t most;      /* bytes that are read or written at most, threads that may run; 0: as many as asked for */
     int32_t delay_ms;  /* how long the call waits before anything else */
     int32_t every;     /* each so many'th call is met; 0: none */
     int64_t calls;     /* made so far while the fault was switched on */
@@ -57,6 +59,8 @@
 DECLARE(write);
 DECLARE(send);
 DECLARE(writev);
+DECLARE(pthread_create);
+DECLARE(mmap);
 
 __attribute__((constructor)) static void map_slots(void) {
     const char *path = getenv("STREAMPROXY_FAULTS");
@@ -133,7 +137,19 @@
     return NEXT(socket)(domain, type, protocol);
 }
 
+/* Gives the socket the address that it is to connect to, so that it connects to itself. */
+static void bind_to_target(int fd, const struct sockaddr *address, socklen_t length) {
+    int saved = errno;
+    int yes = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    bind(fd, address, length);
+    errno = saved;
+}
+
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
+    if (address->sa_family == AF_INET && met(SELF) != NULL) {
+        bind_to_target(fd, address, length);
+    }
     struct slot *slot = address->sa_family == AF_INET || address->sa_family == AF_INET6 ? met(CONNECT) : NULL;
     FAIL_IF_MET(slot);
     return NEXT(connect)(fd, address, length);
@@ -203,3 +219,67 @@
     }
     return NEXT(writev)(fd, parts, count);
 }
+
+/* A thread that this library has started, which is counted until it ends. */
+struct start {
+    void *(*routine)(void *);
+    void *argument;
+};
+
+static int running = 1; /* the thread that loaded this library */
+
+static void ends(void *unused) {
+    (void) unused;
+    __atomic_sub_fetch(&running, 1, __ATOMIC_RELAXED);
+}
+
+static void *run(void *argument) {
+    struct start start = *(struct start *) argument;
+    free(argument);
+    void *result;
+    pthread_cleanup_push(ends, NULL);
+    result = start.routine(start.argument);
+    pthread_cleanup_pop(1);
+    return result;
+}
+
+/* Whether one thread more may not be made: too many run, or, without such a number, it is the turn of this call. */
+static int thread_fails(void) {
+    struct slot *slot = slots == NULL ? NULL : &slots[THREAD];
+    if (slot == NULL || __atomic_load_n(&slot->every, __ATOMIC_RELAXED) <= 0) {
+        return 0;
+    }
+    int32_t most = __atomic_load_n(&slot->most, __ATOMIC_RELAXED);
+    if (most > 0 && __atomic_load_n(&running, __ATOMIC_RELAXED) < most) {
+        return 0;
+    }
+    return error_of(met(THREAD));
+}
+
+int pthread_create(pthread_t *thread, const pthread_attr_t *attributes, void *(*routine)(void *), void *argument) {
+    int error = thread_fails();
+    struct start *start = error != 0 ? NULL : malloc(sizeof *start);
+    if (start == NULL) {
+        return error != 0 ? error : EAGAIN;
+    }
+    start->routine = routine;
+    start->argument = argument;
+    __atomic_add_fetch(&running, 1, __ATOMIC_RELAXED);
+    error = NEXT(pthread_create)(thread, attributes, run, start);
+    if (error != 0) {
+        __atomic_sub_fetch(&running, 1, __ATOMIC_RELAXED);
+        free(start);
+    }
+    return error;
+}
+
+/* Memory that is asked for anew; files are mapped as ever. */
+void *mmap(void *at, size_t length, int protection, int flags, int fd, off_t offset) {
+    struct slot *slot = (flags & MAP_ANONYMOUS) != 0 && slots != NULL && slots[MEMORY].every > 0 ? met(MEMORY) : NULL;
+    int error = error_of(slot);
+    if (error != 0) {
+        errno = error;
+        return MAP_FAILED;
+    }
+    return NEXT(mmap)(at, length, protection, flags, fd, offset);
+}
--- a/lab/src/main/java/streamproxy/lab/StandIns.java
+++ b/lab/src/main/java/streamproxy/lab/StandIns.java
@@ -5,9 +5,8 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -23,7 +22,6 @@
  * a few events in one go; the list names all boxes and tells what {@link #tell} says of them.
  */
 public final class StandIns implements AutoCloseable {
-    private static final int BACKLOG = 1024;
     private static final long GIVE_UP_MS = 4_000;
     private static final long EMPTY_LINES_MS = 500;
     private static final byte[] STREAM = ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -83,11 +81,11 @@
         }
     }
 
-    private final List<ServerSocket> boxes = new ArrayList<>();
+    private final StandInServer server = new StandInServer();
+    private final List<ServerSocketChannel> boxes = new ArrayList<>();
     private final List<Integer> ports = new ArrayList<>(); // as the list names them
-    private final ServerSocket list;
+    private final ServerSocketChannel list;
     private final AtomicLong served = new AtomicLong();
-    private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger listCalls = new AtomicInteger();
     private final AtomicInteger watches = new AtomicInteger();
     private final List<List<Long>> attempts = new ArrayList<>(); // when, by box
@@ -108,48 +106,16 @@
             states.add("ready");
             boots.add(0L);
             boxes.add(open(new Box(attempted, prompts)));
-            ports.add(boxes.get(i).getLocalPort());
+            ports.add(StandInServer.port(boxes.get(i)));
         }
         list = open(this::list);
     }
 
-    private ServerSocket open(Script script) throws IOException {
-        ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
-        thread(() -> accept(server, script));
-        return server;
-    }
-
-    private static void thread(Runnable work) {
-        Thread thread = new Thread(null, work, "stand-in", 128 * 1024);
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private void accept(ServerSocket server, Script script) {
-        try {
-            while (true) {
-                Socket socket = server.accept();
-                connections.incrementAndGet();
-                thread(() -> serve(socket, script));
-            }
-        } catch (IOException e) {
-            // it is over
-        }
-    }
+    private ServerSocketChannel open(Script script) throws IOException { return server.listen(socket -> serve(socket, script)); }
 
-    private static void serve(Socket socket, Script script) {
-        try (socket) {
-            socket.setTcpNoDelay(true);
-            InputStream in = new BufferedInputStream(socket.getInputStream());
-            Message message = message(in, script);
-            while (message != null && script.answer(message, socket)) {
-                message = message(in, script);
-            }
-        } catch (IOException e) {
-            // the router has closed
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    private static boolean serve(Socket socket, Script script) throws IOException, InterruptedException {
+        Message message = message(new BufferedInputStream(socket.getInputStream()), script);
+        return message != null && script.answer(message, socket);
     }
 
     /** Reads a head and the body that it tells of; null at the end, and where that comes early the script hears of it. */
@@ -230,12 +196,12 @@
     }
 
     /** Where the box itself listens. */
-    public int port(int box) { return boxes.get(box).getLocalPort(); }
+    public int port(int box) { return StandInServer.port(boxes.get(box)); }
 
     /** From now on the list names another port for the box, whose own this gives back. */
     public synchronized int advertise(int box, int port) {
         ports.set(box, port);
-        return boxes.get(box).getLocalPort();
+        return StandInServer.port(boxes.get(box));
     }
 
     /** From now on the list says that of the box: {@code ready}, {@code draining} or {@code gone}. */
@@ -280,7 +246,7 @@
         return ("HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text).getBytes(StandardCharsets.US_ASCII);
     }
 
-    public String listAddress() { return "127.0.0.1:" + list.getLocalPort(); }
+    public String listAddress() { return "127.0.0.1:" + StandInServer.port(list); }
 
     /** What a router is told that serves from these. */
     public String configuration(int descriptors, int memoryMb) { return configuration(descriptors, memoryMb, GIVE_UP_MS, ""); }
@@ -313,12 +279,9 @@
     public int watches() { return watches.get(); }
 
     /** Connections that the router has opened so far, to the boxes and the list. */
-    int connections() { return connections.get(); }
+    int connections() { return server.accepted(); }
 
     @Override public void close() throws IOException {
-        for (ServerSocket box : boxes) {
-            box.close();
-        }
-        list.close();
+        server.close();
     }
 }
--- a/lab/src/main/java/streamproxy/lab/faults/Errno.java
+++ b/lab/src/main/java/streamproxy/lab/faults/Errno.java
@@ -6,6 +6,7 @@
     NONE(0),
     EINTR(4),
     EIO(5),
+    EAGAIN(11),
     ENOMEM(12),
     ENFILE(23),
     EMFILE(24),
--- a/lab/src/main/java/streamproxy/lab/faults/FaultInjector.java
+++ b/lab/src/main/java/streamproxy/lab/faults/FaultInjector.java
@@ -61,7 +61,7 @@
         end(call);
         int at = call.ordinal() * SLOT_BYTES;
         INT.setVolatile(slots, at + ERROR, fault.errno().number());
-        INT.setVolatile(slots, at + MOST, fault.mostBytes());
+        INT.setVolatile(slots, at + MOST, fault.most());
         INT.setVolatile(slots, at + DELAY, fault.delayMs());
         INT.setVolatile(slots, at + EVERY, fault.every());
     }
--- a/lab/src/main/java/streamproxy/lab/faults/SystemCall.java
+++ b/lab/src/main/java/streamproxy/lab/faults/SystemCall.java
@@ -15,5 +15,11 @@
     /** Bytes are written to a TCP socket. */
     WRITE,
     /** Bytes are written to standard error, which holds the log. */
-    LOG
+    LOG,
+    /** A thread is made; {@link Fault#most} is how many may run in the process. */
+    THREAD,
+    /** Memory is mapped that belongs to no file. */
+    MEMORY,
+    /** A TCP connection reaches its own socket in place of its target. */
+    SELF
 }
--- a/lab/src/main/java/streamproxy/lab/soak/FaultPlan.java
+++ b/lab/src/main/java/streamproxy/lab/soak/FaultPlan.java
@@ -25,7 +25,7 @@
     /** System calls of a kind fail, come short or late. */
     record CallFault(long atMs, long forMs, SystemCall call, Fault fault) implements Event {
         @Override public String toString() {
-            return String.format(Locale.ROOT, "at=%d for=%d call=%s errno=%s most=%d delay=%d every=%d", atMs, forMs, call, fault.errno(), fault.mostBytes(),
+            return String.format(Locale.ROOT, "at=%d for=%d call=%s errno=%s most=%d delay=%d every=%d", atMs, forMs, call, fault.errno(), fault.most(),
                     fault.delayMs(), fault.every());
         }
     }
@@ -45,6 +45,8 @@
     /** Nothing fails. */
     static final FaultPlan NONE = new FaultPlan(List.of());
 
+    private static final List<SystemCall> DRAWN = List.of(SystemCall.ACCEPT, SystemCall.SOCKET, SystemCall.CONNECT, SystemCall.WAIT,
+            SystemCall.READ, SystemCall.WRITE, SystemCall.LOG);
     private static final long LENGTH_MS = 20_000;
     private static final int GAP_LEAST_MS = 300;
     private static final int GAP_MOST_MS = 3_000;
@@ -70,7 +72,7 @@
     static FaultPlan of(long seed) {
         SplittableRandom random = new SplittableRandom(seed ^ 0xFA17L);
         List<Event> events = new ArrayList<>();
-        for (SystemCall call : SystemCall.values()) {
+        for (SystemCall call : DRAWN) {
             for (long at = gap(random); at < LENGTH_MS; at += gap(random)) {
                 long length = between(random, FOR_LEAST_MS, FOR_MOST_MS);
                 events.add(new CallFault(at, length, call, draw(random, call)));
@@ -99,6 +101,7 @@
             case WAIT -> Fault.failing(Errno.EINTR, every + 1);
             case READ -> interruptedOrShort(random, every);
             case WRITE -> interruptedOrShort(random, every);
+            case THREAD, MEMORY, SELF -> throw new IllegalArgumentException("not drawn: " + call);
             case LOG -> random.nextBoolean() ? Fault.failing(any(random, LOGS), every) : Fault.late(LOG_LATE_MS, every);
         };
     }
--- a/lab/src/test/java/streamproxy/lab/faults/RouterUnderFaults.java
+++ b/lab/src/test/java/streamproxy/lab/faults/RouterUnderFaults.java
@@ -45,10 +45,15 @@
     }
 
     /** One that meets faults from its start on, and need not be ready. */
-    RouterUnderFaults(int replicas, Consumer<FaultInjector> first) throws Exception {
+    RouterUnderFaults(int replicas, Consumer<FaultInjector> first) throws Exception { this(replicas, first, true); }
+
+    /** @param knowsList whether it starts with the list of replicas, or with an empty one */
+    RouterUnderFaults(int replicas, Consumer<FaultInjector> first, boolean knowsList) throws Exception {
         standIns = new StandIns(replicas, this::serve);
         faults = new FaultInjector(folder.resolve("faults"));
-        Files.writeString(folder.resolve("config.json"), standIns.configuration(1_024, 192));
+        String configuration = standIns.configuration(1_024, 192);
+        Files.writeString(folder.resolve("config.json"), knowsList ? configuration
+                : configuration.replaceFirst("\\{\"uid\".*\\}(?=],?\\},\"settings\")", ""));
         process = process("log");
         first.accept(faults);
         process.start();
@@ -68,7 +73,18 @@
 
     void awaitReady() throws InterruptedException { await("ready", () -> process.isAlive() && isReady()); }
 
-    private boolean isReady() {
+    StandIns standIns() { return standIns; }
+
+    /** Threads of the process now. */
+    int threads() {
+        try {
+            return RouterProcess.threads(process.process().pid());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    boolean isReady() {
         try (Socket socket = connect()) {
             return status(socket, "GET /ready HTTP/1.1\r\nHost: lab\r\n\r\n") == 200;
         } catch (IOException e) {
