Run all replicas on two threads, so that one that is not used costs none

Callers saw routers that did not start, served nothing or went over their memory with thousands of replicas: 3,225 threads with a list of 3,200.

Cause: each entry of the list was given an actor with a thread of its own, whether or not anything was ever sent there; where one could not be had, the replica stood in the map without it, the list was taken by half, and the policy heard of no replica at all, for good.

Change: a replica is a SharedThreadActor: its bounded mailbox as before, and one of two ActorThreads, always the same, which runs it when it has a message or its time has come. The watchdog watches the two threads and names the replica that they are at. Only replicas with a connection at rest stand in the set that is searched for one to give up.

ReplicaIntegrationTest awaits the end of an actor where it awaited that of its thread.

--- a/lab/src/test/java/streamproxy/lab/faults/ResourceShortageIntegrationTest.java
+++ b/lab/src/test/java/streamproxy/lab/faults/ResourceShortageIntegrationTest.java
@@ -48,7 +48,7 @@
         assertEquals(0, router.process.process().exitValue(), router.process.log());
     }
 
-    @Tag("known-red") @Test void aReplicaThatIsNotUsedCostsNoThread() throws Exception {
+    @Test void aReplicaThatIsNotUsedCostsNoThread() throws Exception {
         router = new RouterUnderFaults(MANY);
         assertEquals(REQUESTS, served(REQUESTS, "a"));
         assertTrue(router.threads() <= OWN_THREADS, router.threads() + " threads");
@@ -63,7 +63,7 @@
         assertLeavesWell();
     }
 
-    @Tag("known-red") @Test void moreReplicasThanThreadsAreServedFrom() throws Exception {
+    @Test void moreReplicasThanThreadsAreServedFrom() throws Exception {
         router = new RouterUnderFaults(SOME, faults -> faults.begin(SystemCall.THREAD, Fault.threadsMost(FEW_THREADS)));
         router.awaitReady();
         assertEquals(REQUESTS, served(REQUESTS, "a"));
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -13,6 +13,7 @@
 import streamproxy.protocol.NodeConfig;
 import streamproxy.protocol.OperatorFile;
 import streamproxy.protocol.NodeConfig.Unusable;
+import streamproxy.routing.ActorThreads;
 import streamproxy.routing.ServiceDiscovery;
 import streamproxy.routing.Classes;
 import streamproxy.routing.ClientConnections;
@@ -54,6 +55,7 @@
     private final ClientConnections clients;
     private final RuleMonitor rules;
     private final Watchdog watchdog;
+    private final ActorThreads replicaThreads;
     private final ModuleActor module;
     private final ServiceDiscovery list;
     private final EndpointEntry.News known;
@@ -79,6 +81,7 @@
         recording = Recording.of(operator, config.seed());
         fleet.tell(recording.to());
         watchdog = new Watchdog(recording.records());
+        replicaThreads = new ActorThreads(watchdog);
         lifecycle = new Lifecycle(recording::phase);
         Clock clock = new Clock();
         rules = new RuleMonitor((rule, id) -> {
@@ -98,7 +101,7 @@
         heldMost = held(operator);
         heldBytes = new Budget(heldMost);
         Replicas boxes = new Replicas(new Replicas.Desk(text.deployment(), text.reportLayout(), boxPlaces, clock, quiet,
-                () -> this.limits, watchdog, rules));
+                () -> this.limits, replicaThreads, rules));
         module = new ModuleActor(text, config.seed(), clock, boxes, recording.records(), operator.retries(clock.now()),
                 operator.stalls());
         boxes.reportTo(module);
@@ -192,6 +195,7 @@
     public void start() throws IOException {
         Threads.reserve().startAll();
         recording.start();
+        replicaThreads.start();
         list.startFrom(known, watchdog);
         module.start(watchdog);
         watchdog.start();
--- a/router/src/main/java/streamproxy/routing/Mailbox.java
+++ b/router/src/main/java/streamproxy/routing/Mailbox.java
@@ -1,9 +1,5 @@
 package streamproxy.routing;
 
-import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 
@@ -25,32 +21,30 @@
     /** How soon a writer that waits for room looks again; ns. */
     private static final long FULL_LOOK = 1_000_000L;
 
-    private final Queue<M> messages = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger held = new AtomicInteger();
-    private final AtomicLong turnedAway = new AtomicLong();
+    private final BoundedQueue<M> messages;
     /** The reader while it rests or is about to; the writer that takes it out wakes it, and no other need. */
     private final AtomicReference<Thread> resting = new AtomicReference<>();
-    private final int bound;
 
-    Mailbox(int bound) { this.bound = bound; }
+    Mailbox(int bound) { messages = new BoundedQueue<>(bound); }
 
     /** Leaves a message without waiting; false, and counted, where the mailbox is full. */
     boolean offer(M message) {
-        boolean left = add(message);
-        if (!left) {
-            turnedAway.incrementAndGet();
+        boolean left = messages.offer(message);
+        if (left) {
+            wakeReader();
         }
         return left;
     }
 
     /** Leaves a message, waiting while the mailbox is full. */
     void put(M message) throws InterruptedException {
-        while (!add(message)) {
+        while (!messages.add(message)) {
             LockSupport.parkNanos(this, FULL_LOOK);
             if (Thread.interrupted()) {
                 throw new InterruptedException();
             }
         }
+        wakeReader();
     }
 
     /**
@@ -58,19 +52,19 @@
      * may end for no reason. With {@link #NEVER} it rests until there is one, or for no reason.
      */
     M take(long restNs) throws InterruptedException {
-        M message = poll();
+        M message = messages.poll();
         if (message != null || restNs <= 0) {
             return message;
         }
         resting.set(Thread.currentThread());
-        message = poll(); // a writer that came before that line saw nobody rest
+        message = messages.poll(); // a writer that came before that line saw nobody rest
         if (message == null) {
             if (restNs == NEVER) {
                 LockSupport.park(this);
             } else {
                 LockSupport.parkNanos(this, restNs);
             }
-            message = poll();
+            message = messages.poll();
         }
         resting.set(null);
         if (message == null && Thread.interrupted()) {
@@ -82,29 +76,12 @@
     boolean isEmpty() { return messages.isEmpty(); }
 
     /** How many messages found no room in {@link #offer}. */
-    long turnedAway() { return turnedAway.get(); }
+    long turnedAway() { return messages.turnedAway(); }
 
-    private boolean add(M message) {
-        int now;
-        do {
-            now = held.get();
-            if (now >= bound) {
-                return false;
-            }
-        } while (!held.compareAndSet(now, now + 1));
-        messages.add(message);
+    private void wakeReader() {
         Thread reader = resting.get();
         if (reader != null && resting.compareAndSet(reader, null)) {
             LockSupport.unpark(reader);
         }
-        return true;
-    }
-
-    private M poll() {
-        M message = messages.poll();
-        if (message != null) {
-            held.decrementAndGet();
-        }
-        return message;
     }
 }
--- a/router/src/main/java/streamproxy/routing/Replica.java
+++ b/router/src/main/java/streamproxy/routing/Replica.java
@@ -23,7 +23,7 @@
  * The actor of one model box: owns the pool of its connections and hands attempts and probes to them. It never
  * waits for the box; the connections' own threads do.
  */
-final class Replica extends Actor<Replica.Message> {
+final class Replica extends SharedThreadActor<Replica.Message> {
     /** What the module's actor and the connections tell. */
     sealed interface Message { }
 
@@ -84,9 +84,9 @@
     private volatile boolean ready;
     private final IntrusiveList<ReplicaConnection> lately = new IntrusiveList<>(); // idle, the last used last
     private final IntrusiveList<ReplicaConnection> resting = new IntrusiveList<>(); // idle for longer, and watched
-    private final ArrayDeque<ReplicaConnection.Errand> queue = new ArrayDeque<>();
-    private final ArrayDeque<Wanting> wanting = new ArrayDeque<>();
-    private final Set<Replica> all;
+    private final ArrayDeque<ReplicaConnection.Errand> queue = new ArrayDeque<>(0);
+    private final ArrayDeque<Wanting> wanting = new ArrayDeque<>(0);
+    private final Set<Replica> withIdle; // of all replicas, those with a connection at rest
     volatile long idleLongest = NEVER; // since when its longest idle connection is; the actor alone writes it
     private final Supplier<ConnectionLimits> wanted;
     private final PoolLimits limits;
@@ -95,7 +95,7 @@
     private volatile boolean retired;
 
     Replica(long id, EndpointEntry entry, Replicas.Desk desk, ModuleActor module) {
-        super("box " + entry.uid(), MAILBOX);
+        super(desk.threads().of(id), MAILBOX);
         this.id = id;
         this.deployment = desk.deployment();
         this.layout = desk.layout();
@@ -104,8 +104,7 @@
         this.quiet = desk.quiet();
         this.rules = desk.rules();
         this.module = module;
-        all = desk.open();
-        all.add(this);
+        withIdle = desk.idle();
         wanted = desk.limits();
         limits = new PoolLimits(wanted.get().boxMost(), wanted.get().connectingMost());
         this.endpoint = entry.endpoint();
@@ -132,8 +131,9 @@
         }
     }
 
+    @Override public String toString() { return "replica at " + endpoint; }
+
     void retire() {
-        all.remove(this);
         ready = false;
         retired = true;
         offer(new Look()); // only wakes it: where the mailbox is full it is awake
@@ -299,7 +299,7 @@
     /** Has the box whose connection has been idle for longest give it up, if another has an idle one. */
     private void askForPlace() {
         Replica longest = null;
-        for (Replica box : all) {
+        for (Replica box : withIdle) {
             longest = box != this && (longest == null || box.idleLongest < longest.idleLongest) ? box : longest;
         }
         if (longest != null && longest.idleLongest != NEVER) {
@@ -391,7 +391,9 @@
             queue.clear();
             wanting.forEach(one -> turnDown(one.errand));
             wanting.clear();
+            noteIdle(false);
             stop();
+            return;
         }
         for (ReplicaConnection at = lately.first(); at != null && restsAt(at) <= clock.now(); at = lately.first()) {
             IntrusiveList.leave(at);
@@ -402,7 +404,19 @@
                 at.dismiss();
             }
         }
-        idleLongest = idleLongest();
+        long longest = idleLongest();
+        if ((longest == NEVER) != (idleLongest == NEVER)) {
+            noteIdle(longest != NEVER);
+        }
+        idleLongest = longest;
+    }
+
+    private void noteIdle(boolean some) {
+        if (some) {
+            withIdle.add(this);
+        } else {
+            withIdle.remove(this);
+        }
     }
 
     private long idleLongest() {
--- a/router/src/main/java/streamproxy/routing/Replicas.java
+++ b/router/src/main/java/streamproxy/routing/Replicas.java
@@ -20,14 +20,15 @@
      *
      * @param budget the connections that may be open to all of them
      * @param limits how many to one of them, and how many of these being opened; may change at any time
+     * @param idle   those with a connection at rest, any of which may be asked to give one up
+     * @param threads run them all
      * @param rules  counts attempts that are not sent, and rules that are broken
-     * @param open   the boxes themselves, any of which may be asked to give up a connection that it has no use for now
      */
     public record Desk(SettingsText.Deployment deployment, ReportLayout layout, Budget budget, Clock clock,
-            QuietConnections quiet, Supplier<ConnectionLimits> limits, Set<Replica> open, Watchdog watchdog, RuleMonitor rules) {
+            QuietConnections quiet, Supplier<ConnectionLimits> limits, Set<Replica> idle, ActorThreads threads, RuleMonitor rules) {
         public Desk(SettingsText.Deployment deployment, ReportLayout layout, Budget budget, Clock clock, QuietConnections quiet,
-                Supplier<ConnectionLimits> limits, Watchdog watchdog, RuleMonitor rules) {
-            this(deployment, layout, budget, clock, quiet, limits, ConcurrentHashMap.newKeySet(), watchdog, rules);
+                Supplier<ConnectionLimits> limits, ActorThreads threads, RuleMonitor rules) {
+            this(deployment, layout, budget, clock, quiet, limits, ConcurrentHashMap.newKeySet(), threads, rules);
         }
     }
 
@@ -45,7 +46,6 @@
         if (box == null) {
             box = new Replica(id, entry, desk, module);
             byId.put(id, box);
-            box.start(desk.watchdog);
         }
         box.told(entry, ready);
     }
--- a/router/src/test/java/streamproxy/routing/ActorFixtures.java
+++ b/router/src/test/java/streamproxy/routing/ActorFixtures.java
@@ -42,6 +42,6 @@
     /** What replicas share that hold so many connections together. */
     static Replicas.Desk replicas(Clock clock, QuietConnections quiet, ConnectionLimits limits, int allMost) {
         return new Replicas.Desk(SETTINGS.deployment(), SETTINGS.reportLayout(), new Budget(allMost), clock, quiet, () -> limits,
-                new Watchdog(Records.NONE), RuleMonitor.silent());
+                new ActorThreads(new Watchdog(Records.NONE)), RuleMonitor.silent());
     }
 }
--- a/router/src/test/java/streamproxy/routing/ReplicaIntegrationTest.java
+++ b/router/src/test/java/streamproxy/routing/ReplicaIntegrationTest.java
@@ -70,7 +70,7 @@
         EndpointEntry entry = new EndpointEntry("s-1", (InetSocketAddress) server.getLocalSocketAddress(), "", "", 0, "ready", 1, 0);
         Replica box = new Replica(7, entry, desk, module);
         box.told(entry, true);
-        box.start(desk.watchdog());
+        desk.threads().start();
         return box;
     }
 
@@ -160,7 +160,7 @@
             Replica box = new Replica(7, entry, desk, module);
             long usual = box.keepNs();
             box.told(entry, true);
-            box.start(desk.watchdog());
+            desk.threads().start();
             assertTrue(box.probe());
             try (Socket first = server.accept()) {
                 first.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".getBytes());
@@ -199,7 +199,7 @@
             Attempt waiting = attempt("early");
             assertTrue(box.send(waiting));
             box.told(entry, false);
-            box.start(desk.watchdog());
+            desk.threads().start();
             try (Socket unused = server.accept()) {
                 await("it is over", waiting::isOver);
                 unused.setSoTimeout(10_000);
@@ -430,7 +430,7 @@
                 await("its connection is being looked at", () -> box.isEmpty() && box.idleLongest == Actor.NEVER);
                 socket.shutdownOutput();
                 box.retire();
-                await("its actor has ended", () -> !box.thread().isAlive());
+                await("its actor has ended", () -> box.isStopped());
                 go.countDown();
                 await("the module hears of it", attempt::isOver);
             } finally {
