Take a list of replicas again until it is taken whole, and bind its drains first

Callers saw routers that were ready and refused or failed every request for good.

Cause: the module's actor took a list replica by replica and told the policy at the end. An Error at the k-th left the first k told, the policy without any, and the list lost: no line behind it mends that, and a drain in it bound nowhere.

Change: lists, leases, settings and divisions are Lasting messages: one that fails is taken again after 20 ms, and those behind it wait in order, linked by themselves. What a list tells draining or gone is bound before anything else of it. A policy that has not taken a change whole is told all that is known. A RuntimeException is given up after 50 tries. Replicas are told by fields and a schedule that take no memory; an attempt or a probe that cannot be begun, or ends by an Error, is reported to the module.

--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.tinylog.Logger;
 import streamproxy.decision.ListLease;
 import streamproxy.decision.Policy;
@@ -21,6 +22,7 @@
 import streamproxy.decision.Routing.ListForm;
 import streamproxy.decision.Routing.LoadReport;
 import streamproxy.decision.Routing.Outcome;
+import streamproxy.transport.SafeLog;
 
 /**
  * The module's actor, sole caller of {@link Policy}. It keeps the clock, the timers and the table of requests,
@@ -46,15 +48,39 @@
 
     private record ProbeOver(long box, Outcome outcome, long afterNs, LoadReport report) implements Message { }
 
-    private record Retuned(Routing.Settings settings) implements Message { }
+    /**
+     * What must not be lost, whatever fails as it is taken: it is taken again until nothing does. Those behind it wait, in
+     * order; they are linked by themselves, so that waiting takes no memory.
+     */
+    private abstract static non-sealed class Lasting implements Message {
+        private Lasting next;
+        private int tries;
+    }
+
+    private static final class Retuned extends Lasting {
+        private final Routing.Settings settings;
+
+        Retuned(Routing.Settings settings) { this.settings = settings; }
+    }
 
-    private record Divided(Routing.Owners owners) implements Message { }
+    /** An event for the policy as it is: how long the list binds, how replicas are divided, what a cold one may be sent. */
+    private static final class Told extends Lasting {
+        private final Routing.Event event;
 
-    private record Granted(Routing.Granted granted) implements Message { }
+        Told(Routing.Event event) { this.event = event; }
+    }
 
-    private record ListNews(ListForm form, List<EndpointEntry> boxes, List<String> kept) implements Message { }
+    private static final class ListNews extends Lasting {
+        private final ListForm form;
+        private final List<EndpointEntry> boxes;
+        private final List<String> kept;
 
-    private record Lease(Routing.ListLease lease) implements Message { }
+        ListNews(ListForm form, List<EndpointEntry> boxes, List<String> kept) {
+            this.form = form;
+            this.boxes = boxes;
+            this.kept = kept;
+        }
+    }
 
     /** A timer that the module asked for. */
     private final class Asked extends TimerWheel.Timer {
@@ -84,6 +110,10 @@
     private static final int TICK_SHIFT = 18;
     private static final int MAILBOX = 8192;
     private static final long MS = 1_000_000;
+    /** How soon what could not be taken is taken again. */
+    private static final long RETRY_NS = 20 * MS;
+    /** What fails for so long by a fault of the program, and not for want of memory, is given up. */
+    private static final int TRIES_MOST = 50;
 
     private final Clock clock;
     private final SettingsText.Deployment deployment;
@@ -98,9 +128,14 @@
     private final TimerWheel wheel;
     /** Events that an action brings about at once; the module gets them after the event it is at. */
     private final ArrayDeque<Message> own = new ArrayDeque<>();
-    private Runnable watch = () -> { };
-    private Runnable fetch = () -> { };
+    private BooleanSupplier watch = () -> true;
+    private BooleanSupplier fetch = () -> true;
     private ColdShares coldShares = ColdShares.NONE;
+    private Lasting firstLasting; // what could not be taken, and what came behind it; null where there is nothing
+    private Lasting lastLasting;
+    private long retryAt;
+    private boolean policyBehind; // a list was taken here that the policy has not taken whole
+    private volatile long failures;
     private long now;
     private long numbers;
     private volatile boolean knowsBoxes;
@@ -124,8 +159,8 @@
         policy = new Policy(settings, seed, now, this, retries);
     }
 
-    /** Whom to ask for the box list: once before {@link #start}. */
-    void listFrom(Runnable watching, Runnable fetching) {
+    /** Whom to ask for the list, in two ways, each of which says no where it has no room to: once before {@link #start}. */
+    void listFrom(BooleanSupplier watching, BooleanSupplier fetching) {
         watch = watching;
         fetch = fetching;
     }
@@ -133,7 +168,7 @@
     /** Who divides what cold boxes may be sent: once before {@link #start}. */
     public void shareCold(ColdShares with) {
         coldShares = with;
-        with.begin((box, perS, forNs) -> offer(new Granted(new Routing.Granted(box, perS, clock.now() + forNs))));
+        with.begin((box, perS, forNs) -> offer(new Told(new Routing.Granted(box, perS, clock.now() + forNs))));
     }
 
     // ---- What the peers tell ----------------------------------------------------------------------
@@ -148,7 +183,7 @@
     public void retune(Routing.Settings next) { put(new Retuned(next)); }
 
     /** Boxes are divided among routers like that from now on. */
-    public void owners(Routing.Owners owners) { put(new Divided(owners)); }
+    public void owners(Routing.Owners owners) { put(new Told(new Routing.Owned(owners))); }
 
     /** The client has left before its answer was whole, or its deadline has passed: nobody waits for the module any more. */
     public void left(Request request) { put(new Left(request)); }
@@ -177,7 +212,7 @@
 
     /** How long the endpoint list binds; its times are of {@link System#nanoTime}. */
     void listLease(ListLease lease) {
-        put(new Lease(new Routing.ListLease(clock.ofNanoTime(lease.endsAt()), clock.ofNanoTime(lease.provenSince()), lease.provenForNs())));
+        put(new Told(new Routing.ListLease(clock.ofNanoTime(lease.endsAt()), clock.ofNanoTime(lease.provenSince()), lease.provenForNs())));
     }
 
     /** Whether there is any model box to send to. */
@@ -187,20 +222,69 @@
 
     @Override void take(Message message) {
         now = Math.max(now, clock.now());
-        handle(message);
+        if (message instanceof Lasting lasting) {
+            enqueue(lasting);
+            if (lasting == firstLasting) {
+                takeLasting();
+            }
+        } else {
+            handle(message);
+        }
     }
 
     @Override long restNs() {
-        long next = wheel.nextAt();
+        long next = firstLasting == null ? wheel.nextAt() : Math.min(wheel.nextAt(), retryAt);
         return next == Long.MAX_VALUE ? NEVER : next - clock.now();
     }
 
     @Override void onTime() {
         now = Math.max(now, clock.now());
+        if (firstLasting != null && now >= retryAt) {
+            takeLasting();
+        }
         settleOwn();
         wheel.advance(now);
     }
 
+    private void enqueue(Lasting lasting) {
+        if (firstLasting == null) {
+            firstLasting = lasting;
+        } else {
+            lastLasting.next = lasting;
+        }
+        lastLasting = lasting;
+    }
+
+    /** Takes what waits, in order, up to the first that fails. */
+    private void takeLasting() {
+        while (firstLasting != null) {
+            Lasting lasting = firstLasting;
+            try {
+                handle(lasting);
+            } catch (RuntimeException | Error e) {
+                lasting.tries++;
+                retryAt = now + RETRY_NS;
+                failed(e, lasting.tries == 1 ? "the module takes it again after" : null);
+                if (e instanceof Error || lasting.tries < TRIES_MOST) {
+                    return;
+                }
+                SafeLog.error(e, "the module gives up after");
+            }
+            firstLasting = lasting.next;
+        }
+    }
+
+    /** Notes a failure, and says it in the log unless {@code what} is null. */
+    private void failed(Throwable e, String what) {
+        failures++;
+        if (what != null) {
+            SafeLog.error(e, what);
+        }
+    }
+
+    /** How often something failed as it was taken, of what is taken again. */
+    public long failures() { return failures; }
+
     private void settleOwn() {
         for (Message m = own.poll(); m != null; m = own.poll()) {
             handle(m);
@@ -227,14 +311,10 @@
             policy.on(now, new Routing.Probed(m.box, m.outcome, m.afterNs, m.report));
         } else if (message instanceof ListNews m) {
             listChange(m);
-        } else if (message instanceof Lease m) {
-            policy.on(now, m.lease);
+        } else if (message instanceof Told m) {
+            policy.on(now, m.event);
         } else if (message instanceof Left m) {
             clientLeft(m.request);
-        } else if (message instanceof Divided m) {
-            policy.on(now, new Routing.Owned(m.owners));
-        } else if (message instanceof Granted m) {
-            policy.on(now, m.granted);
         } else if (message instanceof Retuned m) {
             settings = m.settings.askingForList();
             policy.retune(settings);
@@ -255,8 +335,8 @@
             policy.on(now, new Routing.Arrival(request.number, clazz, request.tenant, request.prompt.key(),
                     request.prompt.prefix(), request.prompt.promptTokens(), request.prompt.prefixTokens(),
                     request.prompt.mostTokens(), request.deadline.leftNs(now), -1, request.prompt.clientRetry()));
-        } catch (RuntimeException e) {
-            Logger.error(e, "the module could not take request {}", request.prompt.id());
+        } catch (RuntimeException | Error e) { // at once, not at its deadline
+            SafeLog.error(e, "the module could not take a request");
             fail(request.number);
         }
     }
@@ -347,25 +427,26 @@
                 boxesNow.add(before);
             }
         }
+        bindDrains(boxesNow);
         List<Routing.Endpoint> entries = new ArrayList<>();
         Set<Long> named = new HashSet<>();
         EndpointChanges changes = new EndpointChanges();
         for (EndpointEntry box : boxesNow) {
             Health health = healthOf(box);
             long id = box.id();
-            changes.note(box.uid(), healthOf(known.get(id)), health);
+            EndpointEntry before = known.get(id);
+            changes.note(box.uid(), healthOf(before), health);
             if (health == Health.GONE) {
                 known.remove(id);
                 boxes.gone(id);
                 note(id, box.uid(), null, "gone");
             } else {
                 named.add(id);
-                known.put(id, box);
+                known.put(id, box.equals(before) ? before : box);
                 note(id, box.uid(), box.endpoint(), health == Health.READY ? "ready" : "draining");
                 boxes.told(id, box, health == Health.READY);
             }
-            entries.add(new Routing.Endpoint(id, box.weight(), index(deployment.centres(), box.centre()), box.cell(),
-                    clock.at(box.bootMs()), index(deployment.kinds(), box.kind()), health));
+            entries.add(endpoint(box));
         }
         if (news.form == ListForm.FULL || news.form == ListForm.CACHED) {
             for (long id : List.copyOf(known.keySet())) {
@@ -380,7 +461,35 @@
         changes.log();
         knowsBoxes = !known.isEmpty();
         records.list(news.form.name().toLowerCase(Locale.ROOT), news.boxes.size(), known.size());
-        policy.on(now, new Routing.ListChange(news.form, entries));
+        tellPolicy(news.form, entries);
+    }
+
+    /** First, whatever fails behind it: nothing new is sent to what is told draining or gone. */
+    private void bindDrains(List<EndpointEntry> entries) {
+        for (EndpointEntry entry : entries) {
+            long id = entry.id();
+            if (healthOf(entry) != Health.READY && known.containsKey(id)) {
+                boxes.told(id, entry, false);
+            }
+        }
+    }
+
+    /** Where an earlier change did not come through whole, the policy is told all that is known. */
+    private void tellPolicy(ListForm form, List<Routing.Endpoint> entries) {
+        if (form == ListForm.FAILED) {
+            policy.on(now, new Routing.ListChange(form, entries));
+            return;
+        }
+        boolean all = policyBehind && form == ListForm.DELTA;
+        policyBehind = true;
+        policy.on(now, all ? new Routing.ListChange(ListForm.FULL, known.values().stream().map(this::endpoint).toList())
+                : new Routing.ListChange(form, entries));
+        policyBehind = false;
+    }
+
+    private Routing.Endpoint endpoint(EndpointEntry entry) {
+        return new Routing.Endpoint(entry.id(), entry.weight(), index(deployment.centres(), entry.centre()), entry.cell(),
+                clock.at(entry.bootMs()), index(deployment.kinds(), entry.kind()), healthOf(entry));
     }
 
     /** What may be sent there by that entry; an endpoint that is not listed, null, is gone. */
@@ -476,7 +585,9 @@
         }
     }
 
-    @Override public void timer(long afterNs, int token) { wheel.set(new Asked(token), now + afterNs); }
+    @Override public void timer(long afterNs, int token) {
+        wheel.set(new Asked(token), now + afterNs);
+    }
 
     @Override public void probe(long replica) {
         if (!known.containsKey(replica) || !boxes.probe(replica)) {
@@ -484,9 +595,15 @@
         }
     }
 
-    @Override public void watchList() { watch.run(); }
+    @Override public void watchList() { askForList(watch); }
+
+    @Override public void fetchList() { askForList(fetch); }
 
-    @Override public void fetchList() { fetch.run(); }
+    private void askForList(BooleanSupplier ask) {
+        if (!ask.getAsBoolean()) {
+            own.add(new ListNews(ListForm.FAILED, List.of(), List.of()));
+        }
+    }
 
     @Override public void log(String line) { Logger.info(line); }
 
--- a/router/src/main/java/streamproxy/routing/Replica.java
+++ b/router/src/main/java/streamproxy/routing/Replica.java
@@ -18,6 +18,7 @@
 import streamproxy.transport.Budget;
 import streamproxy.transport.Connection;
 import streamproxy.transport.QuietConnections;
+import streamproxy.transport.SafeLog;
 
 /**
  * The actor of one model box: owns the pool of its connections and hands attempts and probes to them. It never
@@ -27,16 +28,13 @@
     /** What the module's actor and the connections tell. */
     sealed interface Message { }
 
-    private record Send(Attempt attempt) implements Message { }
-
-    private record Probe(long at) implements Message { }
+    /** An attempt to carry, or a probe; perhaps once more, as its connection was closed before anything was written. */
+    private record Errands(ReplicaConnection.Errand errand) implements Message { }
 
     private record Idle(ReplicaConnection connection) implements Message { }
 
     private record Over(ReplicaConnection connection) implements Message { }
 
-    private record Again(ReplicaConnection.Errand errand) implements Message { }
-
     /** Another box has no place left among those that all share: this one gives up an idle connection. */
     private record GiveUp(Replica wanting) implements Message { }
 
@@ -46,9 +44,6 @@
     /** An errand that waits for a place, or for a connection of its own box that comes to rest. */
     private record Wanting(ReplicaConnection.Errand errand, long until) { }
 
-    /** There is something to look at: a connection has ended, or the box drains or is gone. */
-    private record Look() implements Message { }
-
     private static final int MAILBOX = 4096;
     /** Errands that wait for a connection where no more may be opened. */
     private static final int QUEUE = 1024;
@@ -127,7 +122,7 @@
         endpoint = entry.endpoint();
         ready = nowReady;
         if (!nowReady) {
-            offer(new Look()); // where the mailbox is full it looks all the same
+            schedule();
         }
     }
 
@@ -136,7 +131,7 @@
     void retire() {
         ready = false;
         retired = true;
-        offer(new Look()); // only wakes it: where the mailbox is full it is awake
+        schedule();
     }
 
     boolean ready() { return ready; }
@@ -146,9 +141,9 @@
     /** Errands that were dropped since too many waited for a connection. */
     long queueFull() { return queueFull; }
 
-    boolean send(Attempt attempt) { return offer(new Send(attempt)); }
+    boolean send(Attempt attempt) { return offer(new Errands(new ReplicaConnection.Errand(attempt, 0))); }
 
-    boolean probe() { return offer(new Probe(clock.now())); }
+    boolean probe() { return offer(new Errands(new ReplicaConnection.Errand(null, clock.now()))); }
 
     // ---- What its connections tell ------------------------------------------------------------------
 
@@ -172,7 +167,7 @@
         synchronized (limits) {
             limits.opened();
         }
-        offer(new Look());
+        schedule();
     }
 
     /** A connection has ended; {@code refused} where it never was open, and the box or its silence said so. */
@@ -184,18 +179,14 @@
                 limits.notOpened(refused, clock.now());
             }
         }
-        offer(new Look());
+        schedule();
     }
 
     // ---- The actor ----------------------------------------------------------------------------------
 
     @Override void take(Message message) {
-        if (message instanceof Send m) {
-            give(new ReplicaConnection.Errand(m.attempt, 0));
-        } else if (message instanceof Probe m) {
-            give(new ReplicaConnection.Errand(null, m.at));
-        } else if (message instanceof Again m) {
-            give(m.errand);
+        if (message instanceof Errands m) {
+            giveOrTurnDown(m.errand());
         } else if (message instanceof GiveUp m) {
             giveUpOne(m.wanting);
         } else if (message instanceof Place && !wanting.isEmpty()) {
@@ -208,6 +199,15 @@
         }
     }
 
+    private void giveOrTurnDown(ReplicaConnection.Errand errand) {
+        try {
+            give(errand);
+        } catch (RuntimeException | Error e) { // unsaid, the module would wait for its end
+            SafeLog.error(e, "an attempt or a probe could not be begun");
+            turnDown(errand);
+        }
+    }
+
     private void give(ReplicaConnection.Errand errand) { give(errand, false); }
 
     /** Finds a connection for an errand, or has it wait for one, or says that there is none. */
@@ -345,14 +345,14 @@
     }
 
     private void again(ReplicaConnection.Errand errand) {
-        boolean left = offer(new Again(errand));
+        boolean left = offer(new Errands(errand));
         if (!left || retired) { // looked at after the message: nobody may read it any more
             turnDown(errand);
         }
     }
 
     /** Our own want of connections, descriptors or threads is no fault of the box. */
-    private void turnDown(ReplicaConnection.Errand errand) {
+    void turnDown(ReplicaConnection.Errand errand) {
         if (errand.attempt() != null) {
             module.over(errand.attempt(), Outcome.MOOT, 0, null);
         } else {
--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -23,6 +23,7 @@
 import streamproxy.limits.IntrusiveList;
 import streamproxy.transport.Connection;
 import streamproxy.transport.QuietConnections;
+import streamproxy.transport.SafeLog;
 import streamproxy.transport.Threads;
 
 /** One connection to a model box, and the thread that connects, writes and reads on it while it has an errand. */
@@ -110,11 +111,17 @@
     boolean quiet() { return connection.look() == Connection.Look.QUIET; }
 
     private void carryOut(Errand errand) {
-        answered = false;
-        reader = new HttpReader(connection);
-        writer = new HttpWriter(connection);
-        idleNs = connected ? box.clock.now() - idleSince : 0;
-        finish(() -> errand.attempt == null ? probe(errand.probeAt) ? Then.KEEP : Then.CLOSE : carry(errand.attempt));
+        try {
+            answered = false;
+            reader = new HttpReader(connection);
+            writer = new HttpWriter(connection);
+            idleNs = connected ? box.clock.now() - idleSince : 0;
+            finish(() -> errand.attempt == null ? probe(errand.probeAt) ? Then.KEEP : Then.CLOSE : carry(errand.attempt));
+        } catch (RuntimeException | Error e) { // no memory for it: unsaid, the module would wait for its end
+            SafeLog.error(e, "an attempt or a probe ended by a fault");
+            close();
+            box.turnDown(errand);
+        }
     }
 
     /** Does a part of an errand, and with the connection what then is to be done. */
@@ -344,7 +351,7 @@
         }
         close(); // before the module hears of it: the next attempt must not begin while this one's connection is open
         if (!(e instanceof IOException)) {
-            Logger.error(e, "an attempt ended by a fault");
+            SafeLog.error(e, "an attempt ended by a fault");
         }
         noteEnd(e);
         if (bound) {
@@ -386,6 +393,9 @@
         } catch (IOException e) {
             outcome = written ? Outcome.RESET : Outcome.CONNECT_FAILED;
             noteEnd(e);
+        } catch (RuntimeException | Error e) { // unsaid, the replica would never be probed again
+            SafeLog.error(e, "a probe ended by a fault");
+            outcome = written ? Outcome.RESET : Outcome.CONNECT_FAILED;
         }
         box.module.probed(box.id, outcome, box.clock.now() - askedAt, report);
         return keep;
--- a/router/src/main/java/streamproxy/routing/Replicas.java
+++ b/router/src/main/java/streamproxy/routing/Replicas.java
@@ -45,7 +45,9 @@
         Replica box = byId.get(id);
         if (box == null) {
             box = new Replica(id, entry, desk, module);
-            byId.put(id, box);
+            box.told(entry, ready);
+            byId.put(id, box); // last: one that could not be made whole is not there
+            return;
         }
         box.told(entry, ready);
     }
--- a/router/src/main/java/streamproxy/routing/SharedThreadActor.java
+++ b/router/src/main/java/streamproxy/routing/SharedThreadActor.java
@@ -75,7 +75,8 @@
     /** How long the actor may wait for its next message. */
     abstract long restNs();
 
-    private void schedule() {
+    /** It is run soon, though no message has come; takes no memory. */
+    final void schedule() {
         if (SCHEDULED.compareAndSet(this, 0, 1)) {
             thread.enqueue(this);
         }
