Have a timer of the module that fails due again, and a call that fails asked for again

Callers of a router whose memory had been short for a moment could be left with a list that it never asked for again.

Cause: the policy sets its tick anew in the tick's last line; an Error before that ended all ticks.

Measured: ModuleActorTest.aTimerOfTheModuleThatFailsIsDueAgain failed on the program before (never asked again in 30 s) and passes with this change.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -332,9 +332,9 @@
 
     private void askForList(long now) {
         if (set.listOnRequest() && !watching && now >= askAt) {
+            out.watchList(); // first: a call that could not be begun is none
             watching = true;
             askedAt = now;
-            out.watchList();
         }
     }
 
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -89,7 +89,17 @@
         Asked(int token) { this.token = token; }
 
         @Override protected void due(long at) {
-            policy.on(now, new Routing.TimerDue(token));
+            dueToken = token;
+            dueIsSetAgain = false;
+            try {
+                policy.on(now, new Routing.TimerDue(token));
+            } catch (RuntimeException | Error e) {
+                failed(e, "a timer of the module is due again after");
+                if (!dueIsSetAgain) {
+                    wheel.set(this, now + RETRY_NS);
+                }
+            }
+            dueToken = NO_TOKEN;
             settleOwn();
         }
     }
@@ -114,6 +124,7 @@
     private static final long RETRY_NS = 20 * MS;
     /** What fails for so long by a fault of the program, and not for want of memory, is given up. */
     private static final int TRIES_MOST = 50;
+    private static final int NO_TOKEN = -1;
 
     private final Clock clock;
     private final SettingsText.Deployment deployment;
@@ -135,6 +146,8 @@
     private Lasting lastLasting;
     private long retryAt;
     private boolean policyBehind; // a list was taken here that the policy has not taken whole
+    private int dueToken = NO_TOKEN; // of the timer that is going off
+    private boolean dueIsSetAgain;
     private volatile long failures;
     private long now;
     private long numbers;
@@ -587,6 +600,7 @@
 
     @Override public void timer(long afterNs, int token) {
         wheel.set(new Asked(token), now + afterNs);
+        dueIsSetAgain |= token == dueToken;
     }
 
     @Override public void probe(long replica) {
--- a/router/src/test/java/streamproxy/routing/ModuleActorTest.java
+++ b/router/src/test/java/streamproxy/routing/ModuleActorTest.java
@@ -124,4 +124,14 @@
         Attempt attempt = attemptFor("a");
         assertEquals("s-" + (REPLICAS - 1), attempt == null ? null : attempt.box, "to the only one that is ready");
     }
+
+    @Test void aTimerOfTheModuleThatFailsIsDueAgain() throws Exception {
+        CountDownLatch asked = new CountDownLatch(3);
+        module.listFrom(() -> {
+            asked.countDown();
+            throw new OutOfMemoryError("as the test wants it");
+        }, () -> true);
+        start();
+        assertTrue(asked.await(30, TimeUnit.SECONDS), "it asks for the list again");
+    }
 }
