Tell the module of each probe's end, whatever became of it

A replica could be left out for good: the policy sends it no second probe while one is out, and a probe whose thread met an Error was never reported (only an IOException was).

Measured: ModuleActorTest.aProbeWithoutAnEndIsHeardOfByTheModule failed before (no second probe in 30 s) and passes here.

--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -104,6 +104,20 @@
         }
     }
 
+    /** The longest that a probe may take; whatever became of it, the policy hears of its end. */
+    private final class ProbeTimeOut extends TimerWheel.Timer {
+        private final long replica;
+
+        ProbeTimeOut(long replica) { this.replica = replica; }
+
+        @Override protected void due(long at) {
+            if (probes.remove(replica, this)) {
+                Logger.warn("a probe of {} has no end after {} ms", uid(replica), probeMostNs / MS);
+                policy.on(now, new Routing.Probed(replica, Outcome.TIMEOUT, probeMostNs, null));
+            }
+        }
+    }
+
     /** The time-out of an attempt, ended with it. */
     private final class TimeOut extends TimerWheel.Timer {
         private final Attempt attempt;
@@ -124,6 +138,8 @@
     private static final long RETRY_NS = 20 * MS;
     /** What fails for so long by a fault of the program, and not for want of memory, is given up. */
     private static final int TRIES_MOST = 50;
+    /** A probe may take so much longer than connecting. */
+    private static final long PROBE_BEYOND_CONNECT_NS = 4_000 * MS;
     private static final int NO_TOKEN = -1;
 
     private final Clock clock;
@@ -142,6 +158,8 @@
     private BooleanSupplier watch = () -> true;
     private BooleanSupplier fetch = () -> true;
     private ColdShares coldShares = ColdShares.NONE;
+    private final Map<Long, ProbeTimeOut> probes = new HashMap<>(); // those that are out, by replica
+    private final long probeMostNs;
     private Lasting firstLasting; // what could not be taken, and what came behind it; null where there is nothing
     private Lasting lastLasting;
     private long retryAt;
@@ -167,6 +185,7 @@
         this.boxes = boxes;
         deployment = text.deployment();
         settings = text.settings().askingForList(); // also where an agent pushes it: the watch of that agent is how it is heard
+        probeMostNs = deployment.connectTimeoutNs() + PROBE_BEYOND_CONNECT_NS;
         now = clock.now();
         wheel = new TimerWheel(TICK_SHIFT, now);
         policy = new Policy(settings, seed, now, this, retries);
@@ -318,6 +337,10 @@
         } else if (message instanceof AttemptOver m) {
             attemptOver(m);
         } else if (message instanceof ProbeOver m) {
+            ProbeTimeOut timeOut = probes.remove(m.box);
+            if (timeOut != null) {
+                wheel.end(timeOut);
+            }
             if (records.on()) {
                 records.probed(uid(m.box), m.outcome, m.afterNs);
             }
@@ -604,6 +627,12 @@
     }
 
     @Override public void probe(long replica) {
+        ProbeTimeOut timeOut = new ProbeTimeOut(replica);
+        ProbeTimeOut before = probes.put(replica, timeOut);
+        if (before != null) {
+            wheel.end(before);
+        }
+        wheel.set(timeOut, now + probeMostNs);
         if (!known.containsKey(replica) || !boxes.probe(replica)) {
             own.add(new ProbeOver(replica, Outcome.CONNECT_FAILED, 0, null));
         }
--- a/router/src/test/java/streamproxy/routing/ActorFixtures.java
+++ b/router/src/test/java/streamproxy/routing/ActorFixtures.java
@@ -8,7 +8,7 @@
 
 /** What actors of this package are tested with: a deployment's settings, limits, and what replicas share. */
 final class ActorFixtures {
-    static final SettingsText SETTINGS = new SettingsText("""
+    private static final String TEXT = """
             Balancers=1
             Classes.count=1
             Classes.0.Name=chat
@@ -24,7 +24,14 @@
             Limits.Keepalive=5000000000
             Limits.MaxAttempts=3
             Me=0
-            """);
+            """;
+    static final SettingsText SETTINGS = new SettingsText(TEXT);
+    /** The same with replicas that are probed for their load. */
+    static final String PROBING = TEXT + """
+            Limits.Probes=true
+            Report.Source=pull
+            Report.Fields=lat_ms,rif,q
+            """;
 
     private ActorFixtures() { }
 
--- a/router/src/test/java/streamproxy/routing/ModuleActorTest.java
+++ b/router/src/test/java/streamproxy/routing/ModuleActorTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import streamproxy.decision.Routing.ListForm;
+import streamproxy.decision.SettingsText;
 import streamproxy.protocol.EndpointEntry;
 import streamproxy.protocol.PassedOn;
 import streamproxy.protocol.PromptHeaders;
@@ -134,4 +135,14 @@
         start();
         assertTrue(asked.await(30, TimeUnit.SECONDS), "it asks for the list again");
     }
+
+    @Test void aProbeWithoutAnEndIsHeardOfByTheModule() throws Exception {
+        SettingsText probing = new SettingsText(ActorFixtures.PROBING);
+        ModuleActor other = new ModuleActor(probing, 1, clock, dispatcher);
+        other.listNews(ListForm.FULL, entries("ready").subList(0, 1), List.of());
+        other.start(new Watchdog(Records.NONE));
+        assertTrue(dispatcher.probed.poll(30, TimeUnit.SECONDS) != null);
+        assertTrue(dispatcher.probed.poll(30, TimeUnit.SECONDS) != null, "it is probed again though nobody told of the first probe's end");
+        other.stop();
+    }
 }
