Free a client's place whatever fails as its connection is taken, served or ended

Callers saw processes that hung: SIGTERM waits for the last connection, and one that was lost to an Error held its place for ever.

Cause, by reading: an Error in an exchange's first lines met a gate that was not there yet, so that its end threw and the connection was never ended; a connection that could not be given back to the watch, or for whose last word there was no memory, stayed counted with nobody to close it; the watch kept what leaves it in a list that may fail to grow, with the key gone already.

Change: whatever throws on these ways abandons the connection (closed, its place free); an Error in an exchange tells the module that the client is gone; what leaves the watch is linked by itself.

--- a/router/src/main/java/streamproxy/routing/ClientConnection.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnection.java
@@ -75,6 +75,15 @@
     boolean isSpared() { return spared; }
 
     @Override public void arrived() {
+        try {
+            serveArrived();
+        } catch (RuntimeException | Error e) {
+            abandon();
+            throw e;
+        }
+    }
+
+    private void serveArrived() {
         if (!enter(Phase.WAITING, Phase.ASKING)) {
             return; // spared meanwhile, and closed
         }
@@ -156,19 +165,28 @@
     /** The exchange has ended with an answer that the client shall have time to read. */
     void linger(CloseReason reason) {
         phase = Phase.OVER;
-        told(reason);
         try {
+            told(reason);
             all.linger(this, ClientConnections.NOTHING);
-        } catch (OutOfMemoryError e) { // it ends at once: its place must be free, or a shutdown waits for it for ever
-            connection.close();
-            all.ended(this, watch);
+        } catch (RuntimeException | Error e) {
+            abandon();
             throw e;
         }
     }
 
     void end(CloseReason reason) {
         phase = Phase.OVER;
-        told(reason);
+        try {
+            told(reason);
+        } finally {
+            connection.close();
+            all.ended(this, watch);
+        }
+    }
+
+    /** Ends it at once, whatever failed: its place must be free, or a shutdown waits for it for ever. */
+    void abandon() {
+        phase = Phase.OVER;
         connection.close();
         all.ended(this, watch);
     }
--- a/router/src/main/java/streamproxy/routing/ClientConnections.java
+++ b/router/src/main/java/streamproxy/routing/ClientConnections.java
@@ -127,6 +127,15 @@
                 verdict = admission.comes(client, connection.from(), System.nanoTime());
             }
         } while (verdict == Admission.Newcomer.AFTER_ANOTHER && makeRoom());
+        try {
+            settle(client, connection, verdict);
+        } catch (RuntimeException | Error e) {
+            client.abandon();
+            throw e;
+        }
+    }
+
+    private void settle(ClientConnection client, Connection connection, Admission.Newcomer verdict) {
         switch (verdict) {
             case TAKEN -> client.awaitRequest();
             case ADDRESS_FULL -> {
@@ -215,9 +224,6 @@
     }
 
     void ended(ClientConnection client, QuietConnections.Watch watch) {
-        if (watch != null) {
-            desk.quiet.letGo(watch);
-        }
         boolean last;
         synchronized (this) {
             last = admission.ends(client) && admission.held() == 0;
@@ -225,6 +231,9 @@
                 notifyAll();
             }
         }
+        if (watch != null) {
+            desk.quiet.letGo(watch);
+        }
         if (last) {
             drainReport.noneHeld(System.nanoTime());
         }
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -19,6 +19,7 @@
 import streamproxy.records.Event;
 import streamproxy.timing.TimerWheel;
 import streamproxy.transport.Connection;
+import streamproxy.transport.SafeLog;
 
 /**
  * The actor of a client's request: from its first byte to its answer's last it has a thread, which reads the request,
@@ -92,9 +93,9 @@
     /** Serves the request that has begun to come, and those right behind it. */
     void serve() {
         Then then = Then.END;
-        all.begins(this);
-        desk.timers().set(stall, STALL_LOOK);
         try {
+            all.begins(this);
+            desk.timers().set(stall, STALL_LOOK);
             do {
                 then = Then.END; // whatever ends this request early ends the connection
                 reason = CloseReason.ANSWERED;
@@ -117,23 +118,35 @@
             } else {
                 Logger.debug(e, "a client's connection ended");
             }
-        } catch (RuntimeException e) {
-            Logger.error(e, "a request failed");
+        } catch (RuntimeException | Error e) {
+            SafeLog.error(e, "a request failed");
             reason = CloseReason.FAILED;
             then = begun ? Then.END : reject(new BadMessage(500, "failed"));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
+            ends(then);
+        }
+    }
+
+    /** Whatever fails here or failed before, the connection's place is free once it has ended. */
+    private void ends(Then then) {
+        try {
             desk.timers().end(stall);
             desk.timers().end(whole);
             all.isOver(this);
-            gate.ends(reason == CloseReason.CLIENT_LEFT);
+            if (gate != null) {
+                gate.ends(reason == CloseReason.CLIENT_LEFT);
+            }
             enters(Stage.ENDED);
             switch (then) {
                 case GO_ON -> at.rest();
                 case LINGER -> at.linger(reason);
                 default -> at.end(reason);
             }
+        } catch (RuntimeException | Error e) {
+            SafeLog.error(e, "a client's connection is closed after");
+            at.abandon();
         }
     }
 
@@ -334,7 +347,7 @@
                     }
                 }
             }
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | Error e) {
             desk.module().left(request);
             throw e;
         }
--- a/router/src/main/java/streamproxy/transport/QuietConnections.java
+++ b/router/src/main/java/streamproxy/transport/QuietConnections.java
@@ -5,13 +5,10 @@
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import org.tinylog.Logger;
 import streamproxy.timing.TimerWheel;
 
 /**
@@ -40,7 +37,9 @@
         private long until;
         private SelectionKey key;
         private long registeredAt;
-        private boolean left; // the watching thread alone touches this, the key and the time
+        private boolean left; // the watching thread alone touches this, the next two, the key and the time
+        private Consumer<Watch> handsOver; // what is done once the selector has let go of it
+        private Watch nextLeaving;
 
         Watch(Connection connection, long until, Owner owner) {
             this.connection = connection;
@@ -116,7 +115,9 @@
     private final Queue<Watch> comers = new ConcurrentLinkedQueue<>();
     private final Queue<Ask> asks = new ConcurrentLinkedQueue<>();
     private final Queue<Predicate<Owner>> sweeps = new ConcurrentLinkedQueue<>();
-    private final List<Runnable> leaving = new ArrayList<>();
+    /** Those that the selector is about to let go of, linked by themselves: none is lost for want of memory. */
+    private Watch firstLeaving;
+    private Watch lastLeaving;
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(8 * 1024);
     private final Selector selector;
     /** At that moment nothing was there to read of any connection that is watched, but for those found ready since. */
@@ -167,7 +168,7 @@
             try {
                 long lookedAt = System.nanoTime();
                 int ready = selector.selectNow();
-                if (ready == 0 && comers.isEmpty() && asks.isEmpty() && sweeps.isEmpty() && leaving.isEmpty()) {
+                if (ready == 0 && comers.isEmpty() && asks.isEmpty() && sweeps.isEmpty() && firstLeaving == null) {
                     quietAt = lookedAt;
                     lookedAt = System.nanoTime();
                     ready = selector.select(waitMs(lookedAt));
@@ -210,16 +211,43 @@
                 }
             }
         }
-        if (!leaving.isEmpty()) {
+        if (firstLeaving != null) {
             selector.selectNow(); // takes the keys off, without which no connection can block again
             selector.selectedKeys().clear(); // what else it found is found again
-            List<Runnable> now = List.copyOf(leaving);
-            leaving.clear();
-            now.forEach(QuietConnections::runSafely);
+            handOverLeaving();
         }
         enterAll();
     }
 
+    private void handOverLeaving() {
+        Watch next = firstLeaving;
+        firstLeaving = null;
+        lastLeaving = null;
+        while (next != null) {
+            Watch watch = next;
+            next = watch.nextLeaving;
+            watch.nextLeaving = null;
+            handOver(watch);
+        }
+    }
+
+    private static void handOver(Watch watch) {
+        try {
+            watch.handsOver.accept(watch);
+        } catch (RuntimeException | Error e) { // no thread or memory to be had
+            SafeLog.error(e, "a connection could not be read");
+            endSafely(watch);
+        }
+    }
+
+    private static void endSafely(Watch watch) {
+        try {
+            watch.owner.over();
+        } catch (RuntimeException | Error e) { // the connections behind this one are handed over all the same
+            SafeLog.error(e, "the watch of quiet connections goes on after");
+        }
+    }
+
     private void release(Ask ask) {
         if (ask.watch.left) {
             runSafely(() -> ask.then.accept(false));
@@ -240,14 +268,13 @@
             if (watch.key != null && quietAt - watch.registeredAt > 0) {
                 watch.connection.wasEmptyAt(quietAt);
             }
-            leaving.add(() -> {
-                try {
-                    then.accept(watch);
-                } catch (RuntimeException | OutOfMemoryError e) { // no thread to be had
-                    Logger.warn(e, "a connection could not be read");
-                    watch.owner.over();
-                }
-            });
+            watch.handsOver = then;
+            if (firstLeaving == null) {
+                firstLeaving = watch;
+            } else {
+                lastLeaving.nextLeaving = watch;
+            }
+            lastLeaving = watch;
         }
     }
 
@@ -293,9 +320,9 @@
         } catch (IOException e) {
             comer.left = true;
             comer.handOver();
-        } catch (RuntimeException | OutOfMemoryError e) { // no thread to be had
-            Logger.warn(e, "a connection could not be read");
-            comer.owner.over();
+        } catch (RuntimeException | Error e) { // no thread or memory to be had
+            SafeLog.error(e, "a connection could not be read");
+            endSafely(comer);
         }
     }
 
