Hear SIGTERM and SIGHUP though no thread can be had for them

Cause: the JDK starts a thread for each signal and forgets the signal where that fails. The three places that kept for such threads help against a number of threads, not against a time in which none is made.

Termination is a thread from the start on, and ends the process. Weighed: signalfd by the foreign-function incubator (a flag and a warning at each start), a native library (a compiler at the build), a canary thread (does not help in a window).

Health says how many threads were refused and how many changes were taken again.

--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -119,7 +119,9 @@
         operatorCalls = config.operator() == null ? null : new OperatorCalls(config.operator(), new OperatorCalls.Desk() {
             @Override public boolean health() { return lifecycle.serving() && module.knowsBoxes(); }
 
-            @Override public String rules() { return rules.toString(); }
+            @Override public String rules() {
+                return rules + "; threads refused: " + Threads.refused() + "; changes taken again: " + module.failures();
+            }
 
             @Override public Fleet.Reply fleet(String method, String path) { return fleet.call(method, path); }
 
@@ -185,7 +187,7 @@
     private static long heap() { return Runtime.getRuntime().maxMemory(); }
 
     public void start() throws IOException {
-        Threads.reserve().startAll();
+        Threads.startReserve();
         recording.start();
         replicaThreads.start();
         list.startFrom(known, watchdog);
--- a/router/src/main/java/streamproxy/program/Serving.java
+++ b/router/src/main/java/streamproxy/program/Serving.java
@@ -1,6 +1,7 @@
 package streamproxy.program;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.concurrent.Semaphore;
 import streamproxy.protocol.NodeConfig;
 import streamproxy.protocol.NodeConfig.Unusable;
@@ -22,9 +23,9 @@
     /** The same as a member of a fleet. */
     static int run(Operator operator, Fleet fleet) throws Unusable, IOException, InterruptedException {
         Semaphore hangUps = new Semaphore(0);
-        Signals.handle("HUP", hangUps::release); // first of all: unhandled, SIGHUP ends a JVM
         Termination termination = new Termination();
-        termination.handleSignals();
+        Signals.handle(Map.of("SIGHUP", hangUps::release, "SIGTERM", termination::ask, "SIGINT", termination::ask)); // first: unhandled, they end a JVM
+        termination.start();
         Router router = new Router(NodeConfig.read(System.getenv()), operator.read(), fleet);
         LogStream.replaceStandardError();
         Thread.setDefaultUncaughtExceptionHandler((thread, e) -> SafeLog.error(e, "in thread " + thread.getName()));
--- a/router/src/main/java/streamproxy/program/Termination.java
+++ b/router/src/main/java/streamproxy/program/Termination.java
@@ -1,38 +1,35 @@
 package streamproxy.program;
 
 import java.io.IOException;
+import java.util.concurrent.Semaphore;
 import org.tinylog.Logger;
 import streamproxy.transport.SafeLog;
+import streamproxy.transport.Threads;
 
 /**
- * Ends the process on SIGTERM and SIGINT, with exit code 0 once all that was taken is answered. The signal's own thread does
- * all of it: a shutdown hook would need a second one, and there may be none.
+ * Ends the process when it is asked to, with exit code 0 once all that was taken is answered. A thread that waits for that
+ * from the start does all of it: a shutdown hook would need one that may not be had then.
  */
 final class Termination {
-    private Router serving; // null before any request can be taken
-    private boolean asked;
+    private final Semaphore asked = new Semaphore(0);
+    private volatile Router serving; // null before any request can be taken
 
-    /** Handles the signals from now on. */
-    void handleSignals() {
-        Signals.handle("TERM", this::end);
-        Signals.handle("INT", this::end);
-    }
+    /**
+     * Starts its thread.
+     *
+     * @throws streamproxy.transport.ResourceShortageException where it cannot be had
+     */
+    void start() { Threads.startAtStart("termination", this::run); }
 
-    /** From now on the router may take requests, which are to be finished; false where the process is ending already. */
-    synchronized boolean serves(Router router) {
-        serving = router;
-        return !asked;
-    }
+    /** The process is to end. Any thread may say so, and more than once. */
+    void ask() { asked.release(); }
 
-    private void end() {
-        Router router;
-        synchronized (this) {
-            if (asked) {
-                return;
-            }
-            asked = true;
-            router = serving;
-        }
+    /** From now on the router may take requests, which are to be finished. */
+    void serves(Router router) { serving = router; }
+
+    private void run() {
+        asked.acquireUninterruptibly();
+        Router router = serving;
         if (router != null) {
             leave(router);
         }
--- a/router/src/main/java/streamproxy/routing/Watchdog.java
+++ b/router/src/main/java/streamproxy/routing/Watchdog.java
@@ -20,11 +20,9 @@
     /** So much of a stack is told. */
     private static final int FRAMES = 12;
     private static final String PROCESS = "process";
-    private static final int THREAD_LOOK_EVERY = 2;
 
     private final Map<Watched, StallDetector> watched = new ConcurrentHashMap<>();
     private final Records records;
-    private int looks;
 
     public Watchdog(Records records) { this.records = records; }
 
@@ -50,15 +48,6 @@
                 records.standstill(PROCESS, true, over, "");
             }
             look(now);
-            lookAtThreads();
-        }
-    }
-
-    /** Each second look: often enough for a signal that comes just after threads have run short. */
-    private void lookAtThreads() {
-        looks++;
-        if (looks % THREAD_LOOK_EVERY == 0) {
-            Threads.reserve().look();
         }
     }
 
--- a/router/src/main/java/streamproxy/transport/Threads.java
+++ b/router/src/main/java/streamproxy/transport/Threads.java
@@ -1,6 +1,7 @@
 package streamproxy.transport;
 
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Starts the program's platform threads; their stacks are small, since there is one for each connection with something to do. */
 public final class Threads {
@@ -9,19 +10,47 @@
     private static final long START_MOST_NS = TimeUnit.SECONDS.toNanos(8);
     private static final long START_PAUSE_MS = 50;
 
-    private static final ThreadReserve RESERVE = new ThreadReserve(Threads::begin);
+    /** One line of the log in so long, however many threads are refused. */
+    private static final long WARN_EVERY_NS = TimeUnit.SECONDS.toNanos(1);
+
+    private static final ThreadReserve RESERVE = new ThreadReserve();
+    private static final AtomicLong REFUSED = new AtomicLong();
+    private static final AtomicLong WARNED_AT = new AtomicLong(System.nanoTime() - WARN_EVERY_NS);
 
     private Threads() { }
 
-    /** What there is of threads, and what is kept for a want of them. */
-    public static ThreadReserve reserve() { return RESERVE; }
+    /**
+     * Starts the threads that are kept for {@link #startOnReserve}, once.
+     *
+     * @throws ResourceShortageException where they cannot be had for some seconds
+     */
+    public static void startReserve() { RESERVE.startAll(); }
+
+    /** How many threads the machine has refused so far, those of starts left out. */
+    public static long refused() { return REFUSED.get(); }
 
     /**
      * A daemon thread; what it throws is logged and ends that thread alone.
      *
      * @throws OutOfMemoryError where no thread can be had
      */
-    public static void start(String name, Runnable work) { RESERVE.start(name, work); }
+    public static void start(String name, Runnable work) {
+        try {
+            begin(name, work);
+        } catch (OutOfMemoryError e) {
+            noteRefused();
+            throw e;
+        }
+    }
+
+    private static void noteRefused() {
+        long refused = REFUSED.incrementAndGet();
+        long now = System.nanoTime();
+        long last = WARNED_AT.get();
+        if (now - last >= WARN_EVERY_NS && WARNED_AT.compareAndSet(last, now)) {
+            SafeLog.warn("threads are short: " + refused + " were refused so far");
+        }
+    }
 
     /**
      * The same for what ends other work or keeps the router told: where no thread can be had, one of the reserve does it.
@@ -29,8 +58,12 @@
      * @throws OutOfMemoryError where the reserve has none left either
      */
     public static void startOnReserve(String name, Runnable work) {
-        if (!RESERVE.startOrRun(name, work)) {
-            throw new OutOfMemoryError("no thread for " + name);
+        try {
+            start(name, work);
+        } catch (OutOfMemoryError e) {
+            if (!RESERVE.run(name, work)) {
+                throw e;
+            }
         }
     }
 
