--- a/lab/src/main/java/streamproxy/lab/soak/SoakRun.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakRun.java
@@ -52,6 +52,15 @@
     private static final List<String> FAULTS_IN_LOG = List.of("a request failed", "in thread", "goes on after", "go on after",
             "OutOfMemoryError", "StackOverflowError", "stands still");
 
+    /** The JVM says that of signals, and the router has heard them all the same: what it does then is judged. */
+    private static final String SIGNAL_WITHOUT_THREAD = "occurred dispatching signal";
+    /** The JVM ends so before any of the program has run. */
+    private static final String JVM_SHORT = "Error occurred during initialization of VM";
+    /** What the JVM says last has no more characters. */
+    private static final int JVM_LAST_LINES = 400;
+    /** A want of threads is over by then, with what it takes to look. */
+    private static final long SHORTAGE_MS = 700;
+
     private final Birth birth;
     private final long startMs;
     private final SoakPlan plan;
@@ -149,7 +158,7 @@
         router.start();
         if (birth.killAfterMs() > 0) {
             TimeUnit.MILLISECONDS.sleep(birth.killAfterMs());
-            if (!router.isAlive()) {
+            if (!router.isAlive() && !endedByJvm(router)) {
                 add(Rule.PROCESS, "its first start ended by itself with " + router.process().exitValue());
             }
             router.kill();
@@ -186,7 +195,7 @@
 
     private boolean awaitReady(DaemonProcess process) throws InterruptedException {
         long by = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(startMs);
-        while (System.nanoTime() < by && process.isAlive()) {
+        while (System.nanoTime() < by && (process.isAlive() || startedAgain(process))) {
             DaemonProcess.Reply health = process.get("/admin/health");
             if (health != null && health.status() == 200 && SoakFront.isReady(listen)) {
                 return true;
@@ -197,6 +206,29 @@
         return false;
     }
 
+    /** Whether the JVM itself found no thread for its start, in a run in which none can be made at times. */
+    private boolean endedByJvm(DaemonProcess process) {
+        try {
+            String log = process.log();
+            return faults.makesShort(SystemCall.THREAD) && log.lastIndexOf(JVM_SHORT) > log.length() - JVM_LAST_LINES;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Starts a process again that the JVM has ended, as whoever runs it would; false where it ended otherwise. */
+    private boolean startedAgain(DaemonProcess process) {
+        if (!endedByJvm(process) || process.process().exitValue() != 1) {
+            return false;
+        }
+        try {
+            process.start();
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private List<Thread> startClients(SoakFront front) {
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < plan.clients(); i++) {
@@ -266,12 +298,23 @@
         }
         call("/admin/resume");
         sleepUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RESUMED_MS));
-        String readiness = SoakFront.readiness(listen);
+        String readiness = readinessAfterShortage();
         if (!readiness.endsWith(" 200")) {
             add(Rule.DRAIN, "2 s after resume it says in place of yes: " + readiness);
         }
     }
 
+    /** Without a thread for it the question is refused: where that may be the reason it is asked again until that is over. */
+    private String readinessAfterShortage() throws InterruptedException {
+        long by = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(faults.makesShort(SystemCall.THREAD) ? SHORTAGE_MS : 0);
+        String readiness = SoakFront.readiness(listen);
+        while (!readiness.endsWith(" 200") && System.nanoTime() < by) {
+            TimeUnit.MILLISECONDS.sleep(20);
+            readiness = SoakFront.readiness(listen);
+        }
+        return readiness;
+    }
+
     private void judgeHeld(SoakClient client, long now) {
         SoakConnection held = client.held();
         SoakRequest request = client.underWay();
@@ -295,9 +338,9 @@
         return next;
     }
 
-    private static boolean awaitHealth(DaemonProcess process, long ms) throws InterruptedException {
+    private boolean awaitHealth(DaemonProcess process, long ms) throws InterruptedException {
         long by = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
-        while (System.nanoTime() < by && process.isAlive()) {
+        while (System.nanoTime() < by && (process.isAlive() || startedAgain(process))) {
             DaemonProcess.Reply health = process.get("/admin/health");
             if (health != null && health.status() == 200) {
                 return true;
@@ -373,7 +416,8 @@
 
     /** Where threads are made to fail, each refusal is told; that work ended by one is not among that. */
     private boolean isOfShortage(String line) {
-        boolean refused = line.contains("unable to create native thread") || line.contains("threads are short");
+        boolean refused = line.contains("unable to create native thread") || line.contains("threads are short")
+                || line.contains(SIGNAL_WITHOUT_THREAD);
         return faults.makesShort(SystemCall.THREAD) && refused && !line.contains("go on after") && !line.contains("goes on after") && !line.contains(" ended");
     }
 
