Read the configuration again where a descriptor could not be had for it

A start that met EMFILE or ENFILE as it opened NODE_CONFIG ended with 3 and 'cannot read', as though the file were wrong. It is read again for 2 s unless it is not there, may not be read or is no text. By reading; ProgramIntegrationTest passes, no test forces the shortage.

--- a/router/src/main/java/streamproxy/protocol/NodeConfig.java
+++ b/router/src/main/java/streamproxy/protocol/NodeConfig.java
@@ -1,14 +1,19 @@
 package streamproxy.protocol;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.AccessDeniedException;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -22,6 +27,9 @@
         EndpointEntry.News known, String settings, InetSocketAddress operator) {
     private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3}):(\\d{1,5})");
 
+    private static final int READ_TRIES = 40;
+    private static final long READ_PAUSE_MS = 50;
+
     /** What the router was told cannot be used; the message says why in one line. */
     public static final class Unusable extends Exception {
         private static final long serialVersionUID = 1L;
@@ -83,7 +91,7 @@
     private static Map<String, Object> file(Map<String, String> environment) throws Unusable {
         String file = need(environment, "NODE_CONFIG");
         try {
-            return Json.object(Json.parse(Files.readString(Path.of(file))));
+            return Json.object(Json.parse(read(Path.of(file))));
         } catch (IOException | InvalidPathException e) {
             throw new Unusable("NODE_CONFIG: cannot read " + file);
         } catch (Json.Malformed e) {
@@ -91,6 +99,31 @@
         }
     }
 
+    /** Reads it, again and again for a while where the machine is short of descriptors. */
+    private static String read(Path file) throws IOException {
+        for (int tries = 1;; tries++) {
+            try {
+                return Files.readString(file);
+            } catch (NoSuchFileException | AccessDeniedException | CharacterCodingException e) {
+                throw e; // that does not pass
+            } catch (IOException e) {
+                if (tries == READ_TRIES) {
+                    throw e;
+                }
+                pause();
+            }
+        }
+    }
+
+    private static void pause() throws IOException {
+        try {
+            TimeUnit.MILLISECONDS.sleep(READ_PAUSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException();
+        }
+    }
+
     private static String need(Map<String, String> environment, String name) throws Unusable {
         String value = environment.get(name);
         if (value == null || value.isBlank()) {
