Wait for a thread to go on with a stream before it is broken off

A stream whose client reads slowly rests without a thread; where none could be had as the client had room again, it was broken off at once. It is tried again each 20 ms for 2 s. By reading; StreamIntegrationTest and ReplicaIntegrationTest pass, no test forces the shortage at that moment.

--- a/router/src/main/java/streamproxy/routing/Replica.java
+++ b/router/src/main/java/streamproxy/routing/Replica.java
@@ -41,6 +41,9 @@
     /** A place among those that all share may be free now. */
     private record Place() implements Message { }
 
+    /** Work for which there was no thread, to be tried again soon. */
+    private record Later(Runnable again) implements Message { }
+
     /** An errand that waits for a place, or for a connection of its own box that comes to rest. */
     private record Wanting(ReplicaConnection.Errand errand, long until) { }
 
@@ -62,6 +65,8 @@
     /** Share of the box's own time for idle connections after which ours are closed: never write to a closing one. */
     private static final double KEEP = 0.9;
 
+    /** How soon work is tried again for which there was no thread. */
+    private static final long LATER = 20_000_000L;
     /** However early a box closes idle connections, one used again within this is kept. */
     private static final long KEEP_LEAST = 50_000_000L;
     /** With each kept connection that serves well the time grows by such a part, up to the settings' own. */
@@ -77,6 +82,8 @@
     private final Budget budget;
     private volatile InetSocketAddress endpoint;
     private volatile boolean ready;
+    private final ArrayDeque<Later> later = new ArrayDeque<>(0);
+    private long laterAt; // when those are tried again
     private final IntrusiveList<ReplicaConnection> lately = new IntrusiveList<>(); // idle, the last used last
     private final IntrusiveList<ReplicaConnection> resting = new IntrusiveList<>(); // idle for longer, and watched
     private final ArrayDeque<ReplicaConnection.Errand> queue = new ArrayDeque<>(0);
@@ -143,6 +150,9 @@
 
     boolean send(Attempt attempt) { return offer(new Errands(new ReplicaConnection.Errand(attempt, 0))); }
 
+    /** Has work tried again soon; false where there is no room for it, or nobody would. */
+    boolean later(Runnable again) { return !isStopped() && offer(new Later(again)); }
+
     boolean probe() { return offer(new Errands(new ReplicaConnection.Errand(null, clock.now()))); }
 
     // ---- What its connections tell ------------------------------------------------------------------
@@ -193,6 +203,9 @@
             give(wanting.poll().errand, true);
         } else if (message instanceof Idle m) {
             rest(m.connection);
+        } else if (message instanceof Later m) {
+            later.add(m);
+            laterAt = clock.now() + LATER;
         } else if (message instanceof Over m) {
             IntrusiveList.leave(m.connection);
             m.connection.dismiss();
@@ -382,11 +395,12 @@
         if (!ready || retired) {
             letGo();
         }
+        tryLater();
         giveQueued();
         while (!wanting.isEmpty() && (!lately.isEmpty() || wanting.peek().until <= clock.now())) {
             give(wanting.poll().errand, true);
         }
-        if (retired && isEmpty()) {
+        if (retired && isEmpty() && later.isEmpty()) {
             queue.forEach(this::turnDown);
             queue.clear();
             wanting.forEach(one -> turnDown(one.errand));
@@ -419,6 +433,14 @@
         }
     }
 
+    private void tryLater() {
+        if (!later.isEmpty() && laterAt <= clock.now()) {
+            for (int i = later.size(); i > 0; i--) {
+                later.poll().again.run();
+            }
+        }
+    }
+
     private long idleLongest() {
         ReplicaConnection first = !resting.isEmpty() ? resting.first() : lately.first();
         return first == null ? NEVER : first.idleSince();
@@ -445,6 +467,7 @@
             }
         }
         at = wanting.isEmpty() ? at : Math.min(at, wanting.peek().until);
+        at = later.isEmpty() ? at : Math.min(at, laterAt);
         return at == NEVER ? NEVER : at - clock.now();
     }
 }
--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -39,6 +39,8 @@
     private static final long PROBE_WAIT = 1_000_000_000L;
     /** The module's actor ends an attempt in time; this only keeps a thread from waiting for ever. */
     private static final long BEYOND = 1_000_000_000L;
+    /** So long a stream whose client has room again waits for a thread to go on with. */
+    private static final long RESUME_MOST = 2_000_000_000L;
     /** A request whose last byte was written so long after the last look at its client may have begun for one that had left. */
     private static final long HELD_UP = 50_000_000L;
 
@@ -324,11 +326,16 @@
         }
 
         /** There is room again, or the client has gone and the next event shows it. */
-        private void resume() {
+        private void resume() { resume(System.nanoTime() + RESUME_MOST); }
+
+        private void resume(long by) {
             try {
                 Threads.start("to " + to, () -> finish(this::goOn));
             } catch (OutOfMemoryError e) {
-                Logger.warn(e, "no thread to go on with a stream");
+                if (System.nanoTime() - by < 0 && box.later(() -> resume(by))) {
+                    return;
+                }
+                SafeLog.error(e, "no thread to go on with a stream");
                 attempt.request.client.broken();
                 box.module.over(attempt, Outcome.RESET, 0, null);
                 close();
