Lose no end of an attempt or call to a want of memory as it is told

The end of an attempt was marked before the message that tells of it was made: an Error between the two left an attempt that had ended for all and was never reported. The same for a call of service discovery that ended by an Error and had no memory to say so: the policy held itself to be watching for good. Messages are made first, a call's last one with the call, and who leaves one waits some seconds for memory. By reading; ModuleActorTest and MailboxTest pass.

--- a/router/src/main/java/streamproxy/routing/Mailbox.java
+++ b/router/src/main/java/streamproxy/routing/Mailbox.java
@@ -21,6 +21,9 @@
     /** How soon a writer that waits for room looks again; ns. */
     private static final long FULL_LOOK = 1_000_000L;
 
+    /** So often a writer looks again that finds no memory; some seconds. */
+    private static final int SHORT_LOOKS_MOST = 3_000;
+
     private final BoundedQueue<M> messages;
     /** The reader while it rests or is about to; the writer that takes it out wakes it, and no other need. */
     private final AtomicReference<Thread> resting = new AtomicReference<>();
@@ -36,9 +39,12 @@
         return left;
     }
 
-    /** Leaves a message, waiting while the mailbox is full. */
+    /**
+     * Leaves a message, waiting while the mailbox is full, and for a while where there is no memory to leave it in: what it
+     * tells would be lost.
+     */
     void put(M message) throws InterruptedException {
-        while (!messages.add(message)) {
+        for (int shortLooks = 0; !tryAdd(message, shortLooks); shortLooks++) {
             LockSupport.parkNanos(this, FULL_LOOK);
             if (Thread.interrupted()) {
                 throw new InterruptedException();
@@ -78,6 +84,17 @@
     /** How many messages found no room in {@link #offer}. */
     long turnedAway() { return messages.turnedAway(); }
 
+    private boolean tryAdd(M message, int looks) {
+        try {
+            return messages.add(message);
+        } catch (OutOfMemoryError e) {
+            if (looks >= SHORT_LOOKS_MOST) {
+                throw e;
+            }
+            return false;
+        }
+    }
+
     private void wakeReader() {
         Thread reader = resting.get();
         if (reader != null && resting.compareAndSet(reader, null)) {
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -223,15 +223,17 @@
     void began(Attempt attempt) { put(new Began(attempt)); }
 
     void over(Attempt attempt, Outcome outcome, double keptTokens, LoadReport report) {
+        AttemptOver over = new AttemptOver(attempt, outcome, keptTokens, report); // first: an end that is not told is none
         if (attempt.end()) {
-            put(new AttemptOver(attempt, outcome, keptTokens, report));
+            put(over);
         }
     }
 
     /** The box has fallen silent within the attempt's stream. */
     void stalled(Attempt attempt) {
+        AttemptOver over = new AttemptOver(attempt, Outcome.RESET, 0, null, true);
         if (attempt.end()) {
-            put(new AttemptOver(attempt, Outcome.RESET, 0, null, true));
+            put(over);
         }
     }
 
@@ -434,8 +436,9 @@
     }
 
     private void timeOut(Attempt attempt) {
+        AttemptOver over = new AttemptOver(attempt, Outcome.TIMEOUT, 0, null);
         if (attempt.callOff()) {
-            own.add(new AttemptOver(attempt, Outcome.TIMEOUT, 0, null));
+            own.add(over);
         }
     }
 
--- a/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
+++ b/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
@@ -349,6 +349,7 @@
         private final boolean watching;
         private final long since; // the version that it was begun with; -1 for none
         private final long answerNs;
+        private final Failed outOfMemory = new Failed(this, new IOException("no memory for what the call told"));
         private boolean answered; // it has brought a list; the actor alone touches it
         private volatile boolean alive; // it has brought something, if only an empty line
         private volatile Connection connection;
@@ -389,7 +390,7 @@
             } catch (IOException | RuntimeException e) {
                 put(new Failed(this, e));
             } catch (Error e) { // no memory for what it told: unsaid, the module would wait for this call for ever
-                put(new Failed(this, new IOException(e)));
+                put(outOfMemory);
             }
         }
 
