--- a/lab/src/test/java/streamproxy/lab/faults/ResourceShortageIntegrationTest.java
+++ b/lab/src/test/java/streamproxy/lab/faults/ResourceShortageIntegrationTest.java
@@ -24,6 +24,8 @@
     private static final long MEMORY_KB = 192 * 1024;
     private static final int REQUESTS = 20;
     private static final int MACHINE_SHORT = 4;
+    /** Room for the JVM's threads and a few of a router's own. */
+    private static final int START_HALF_WAY = 22;
 
     private RouterUnderFaults router;
 
@@ -83,6 +85,12 @@
         assertLeavesWell();
     }
 
+    @Test void aShutdownThatComesBeforeTheStartIsOverEndsIt() throws Exception {
+        router = new RouterUnderFaults(2, faults -> faults.begin(SystemCall.THREAD, Fault.threadsMost(START_HALF_WAY)));
+        RouterUnderFaults.await("threads are refused", () -> router.faults.hits(SystemCall.THREAD) > 3);
+        assertLeavesWell();
+    }
+
     @Test void aRouterThatFindsNoMoreThreadsLeavesWell() throws Exception {
         router = new RouterUnderFaults(2);
         assertEquals(REQUESTS, served(REQUESTS, "a"));
