Serve on where a reload meets an Error

SIGHUP is carried out by the main thread: an Error or RuntimeException of a reload ended that thread, and with it the process, as all others are daemons. It is logged, and the next signal is heard. By reading; SettingsIntegrationTest passes, no test forces an Error in a reload.

--- a/router/src/main/java/streamproxy/program/Serving.java
+++ b/router/src/main/java/streamproxy/program/Serving.java
@@ -39,7 +39,16 @@
         while (true) { // other threads do the work, until a signal ends the program
             hangUps.acquire();
             hangUps.drainPermits(); // what is read now is as new as the last of them wants
+            reload(router, reload);
+        }
+    }
+
+    /** Whatever fails, the process serves on, and the next signal is heard. */
+    private static void reload(Router router, Router.Reload reload) {
+        try {
             router.reload(reload);
+        } catch (RuntimeException | Error e) {
+            SafeLog.error(e, "reload; what was not taken yet stays as it was");
         }
     }
 }
