Count no wait for the router itself as silence of the list's service

The time by which a watch's next line must be whole ran from before the wait for room for the last one: a router that was held up for 3 s there would have taken a good watch for silent.

--- a/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
+++ b/router/src/main/java/streamproxy/routing/ServiceDiscovery.java
@@ -444,12 +444,12 @@
         /** Leaves it once what this call has told before is taken: lists are large, and the mailbox counts messages. */
         private void heard(Message message) {
             alive = true;
-            lineBy = System.nanoTime() + SILENCE;
             if (watching) {
                 shared.alive();
             }
             untaken.acquireUninterruptibly();
             put(message);
+            lineBy = System.nanoTime() + SILENCE; // what was waited for here is no silence of the service
         }
     }
 }
