--- a/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
+++ b/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import streamproxy.lab.StandIns;
 import streamproxy.lab.soak.SoakBreak.Rule;
 
 /** The judge finds each break that is planted, and excuses what the rules excuse. */
@@ -117,4 +118,22 @@
         assertJudged(List.of(), request, attempt(request, "0.100", request.body));
         assertJudged(List.of(Rule.DEADLINE), request, attempt(request, "1.400", request.body));
     }
+
+    @Test void anAttemptAtAReplicaWhoseEndWasToldLongAgoIsABreak() {
+        SoakRequest request = request(SoakRequest.End.REFUSED, 0, SECOND);
+        assertEquals(List.of(), judgedAtEnded(request, 6_700));
+        assertEquals(List.of(Rule.DRAINED_REPLICA), judgedAtEnded(request, 6_800));
+    }
+
+    /** What is judged of an attempt that reaches a replica so long after the list told that it has gone. */
+    private List<Rule> judgedAtEnded(SoakRequest request, long endedForMs) {
+        request.sentAt = System.nanoTime();
+        request.endedAt = request.sentAt + SECOND;
+        String whole = attempt(request, "0.100", request.body);
+        int body = whole.indexOf("\r\n\r\n") + 4;
+        StandIns.Message message = new StandIns.Message(whole.substring(0, body), request.bodyBytes());
+        replicas.attempts().clear();
+        replicas.attempts().add(new SoakReplicas.Attempt(message, request.sentAt, true, TimeUnit.MILLISECONDS.toNanos(endedForMs)));
+        return judged(request, 0);
+    }
 }
