List a replica in the policy's fleet at the same cost however many there are

Cause: whether a replica stands in the fleet was looked up in the list of it, so that a whole list cost the square of its length.

Change: the replica knows. PolicyTest, FleetTest and UnconfirmedListTest pass.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -84,6 +84,7 @@
         double weight = 1;           // what it can do once it is warm, beside others
         long born;
         boolean ready;
+        boolean inFleet;             // stands among the ready ones, whether or not it is one still
         boolean listed;              // stands in the I-queue
         double unread;               // prompt tokens unread by the last report
         long provenAt = EndpointTrust.NEVER_PROVEN; // it answered a probe well that was asked for then
@@ -292,8 +293,9 @@
             r.cell = e.cell();
             r.weight = Math.max(WEIGHT_LEAST, Math.min(WEIGHT_MOST, e.weight()));
             r.born = e.bornNs();
-            if (ready && !r.ready && !fleet.contains(r)) {
+            if (ready && !r.inFleet) {
                 fleet.add(r);
+                r.inFleet = true;
             }
             r.ready = ready;
             if (e.health() == Health.GONE) {
@@ -311,7 +313,10 @@
 
     private void arrange(long now) {
         epoch++;
-        fleet.removeIf(r -> !r.ready);
+        fleet.removeIf(r -> {
+            r.inFleet = r.ready;
+            return !r.ready;
+        });
         near.clear();
         far.clear();
         ownNear.clear();
