Log how far a stream had come where it ends incomplete or breaks off

StreamProgress follows what the events of a stream say (text, a reason to finish, usage, [DONE]), EventContent reads it; a stream that gets its last chunk without these is told at warn, one that breaks off at info with its phase, bytes and reason, an attempt that ends before its first event at debug. Nothing is decided by it yet.

--- a/router/src/main/java/streamproxy/routing/AnswerBuffer.java
+++ b/router/src/main/java/streamproxy/routing/AnswerBuffer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import streamproxy.protocol.StreamPiece;
 import streamproxy.streams.StreamLimits;
 import streamproxy.streams.StreamState;
 import streamproxy.streams.StreamState.Step;
@@ -17,14 +18,14 @@
     enum Kind { EVENT, ENDED, BROKEN, REFUSED, FAILED }
 
     /** What the client gets next. */
-    record Letter(Kind kind, byte[] event, long retryAfterNs) { }
+    record Letter(Kind kind, StreamPiece piece, long retryAfterNs) { }
 
     private static final Runnable NOTHING = () -> { };
 
     private final StreamState state;
     private final long lagNs;
     private final Budget all;
-    private final ArrayDeque<byte[]> events = new ArrayDeque<>();
+    private final ArrayDeque<StreamPiece> pieces = new ArrayDeque<>();
     private int charged; // of the budget for all
     private Letter last;
     private Runnable goOn = NOTHING;
@@ -61,15 +62,16 @@
 
     // ---- Who gives it -------------------------------------------------------------------------------
 
-    @Override public synchronized Room event(byte[] event, Runnable whenRoom) {
+    @Override public synchronized Room event(StreamPiece piece, Runnable whenRoom) {
         if (gone || last != null) {
             return Room.GONE;
         }
         long now = System.nanoTime();
-        events.add(event);
-        Step step = state.event(now, event.length);
-        if (all.tryTake(event.length, 0)) {
-            charged += event.length;
+        int bytes = piece.bytes().length;
+        pieces.add(piece);
+        Step step = state.event(now, bytes);
+        if (all.tryTake(bytes, 0)) {
+            charged += bytes;
         } else if (step != Step.PAUSE) {
             step = state.full(now); // the others hold what there is
         }
@@ -108,11 +110,11 @@
 
     /** Waits so long at most; null where nothing has come by then. What was held comes before the end. */
     synchronized Letter next(long waitNs) throws InterruptedException {
-        if (events.isEmpty() && last == null) {
+        if (pieces.isEmpty() && last == null) {
             TimeUnit.NANOSECONDS.timedWait(this, waitNs);
         }
-        byte[] event = events.poll();
-        Letter letter = event != null ? new Letter(Kind.EVENT, event, 0) : last;
+        StreamPiece piece = pieces.poll();
+        Letter letter = piece != null ? new Letter(Kind.EVENT, piece, 0) : last;
         if (letter != null) {
             stopLooking();
         }
@@ -160,7 +162,7 @@
         synchronized (this) {
             gone = true;
             state.givenUp();
-            events.clear();
+            pieces.clear();
             all.giveBack(charged);
             charged = 0;
             then = resume();
--- a/router/src/main/java/streamproxy/routing/Client.java
+++ b/router/src/main/java/streamproxy/routing/Client.java
@@ -1,5 +1,7 @@
 package streamproxy.routing;
 
+import streamproxy.protocol.StreamPiece;
+
 /** Who waits for the answer to one request; each protocol spoken with clients has its own. */
 public interface Client {
     /** What an event has found. */
@@ -25,10 +27,10 @@
     void failed();
 
     /**
-     * Passes an event on, without waiting. Where that leaves no room, {@code whenRoom} is run once: when there is room
+     * Passes a piece of the stream on, without waiting. Where that leaves no room, {@code whenRoom} is run once: when there is room
      * again, or when the client has gone; on a thread that must not be kept.
      */
-    Room event(byte[] event, Runnable whenRoom);
+    Room event(StreamPiece piece, Runnable whenRoom);
 
     /** How long the next event may take before the stream counts as silent, in nanoseconds. */
     long silenceNs();
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -9,7 +9,6 @@
 import streamproxy.lifecycle.DrainState;
 import streamproxy.streams.StreamLimits;
 import streamproxy.protocol.BadMessage;
-import streamproxy.protocol.EventStream;
 import streamproxy.protocol.HttpHead;
 import streamproxy.protocol.HttpReader;
 import streamproxy.protocol.HttpWriter;
@@ -312,19 +311,20 @@
                 }
                 switch (letter.kind()) {
                     case EVENT -> {
+                        byte[] piece = letter.piece().bytes();
                         if (begun) {
-                            writer.event(letter.event());
+                            writer.event(piece);
                         } else {
                             closes = closing(head);
                             begun = true;
                             gate.answers(desk.clock().now());
                             enters(Stage.STREAMING);
-                            writer.firstEvent(letter.event(), closes);
+                            writer.firstEvent(piece, closes);
                             firstAt = desk.clock().now();
                         }
-                        held.taken(letter.event().length);
-                        bytes += letter.event().length;
-                        events += EventStream.isText(letter.event()) ? 1 : 0;
+                        held.taken(piece.length);
+                        bytes += piece.length;
+                        events += letter.piece().content().isData() ? 1 : 0;
                     }
                     case ENDED -> {
                         connection.noteWhetherEmpty(); // the client's next request follows its last chunk
--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -12,15 +12,19 @@
 import org.tinylog.Logger;
 import streamproxy.dispatch.AttemptGate;
 import streamproxy.protocol.BadMessage;
+import streamproxy.protocol.EventContent;
 import streamproxy.protocol.EventStream;
 import streamproxy.protocol.HttpHead;
 import streamproxy.protocol.HttpReader;
 import streamproxy.protocol.HttpWriter;
 import streamproxy.protocol.Json;
 import streamproxy.protocol.PassedOn;
+import streamproxy.protocol.StreamPiece;
 import streamproxy.decision.Routing.LoadReport;
 import streamproxy.decision.Routing.Outcome;
 import streamproxy.limits.IntrusiveList;
+import streamproxy.streams.StreamDefect;
+import streamproxy.streams.StreamProgress;
 import streamproxy.transport.Connection;
 import streamproxy.transport.QuietConnections;
 import streamproxy.transport.SafeLog;
@@ -169,7 +173,7 @@
     private Then carry(Attempt attempt) {
         attempt.carriedBy(connection);
         boolean written = false;
-        boolean bound = false;
+        StreamProgress progress = null;
         try {
             connect();
             PassedOn request = attempt.request.passedOn();
@@ -204,8 +208,8 @@
                 return wholeAfter(head) ? Then.KEEP : Then.CLOSE;
             }
             EventStream events = new EventStream(reader);
-            byte[] event = events.next(FIRST_EVENT);
-            if (event == null) {
+            StreamPiece first = events.next(FIRST_EVENT);
+            if (first == null) {
                 box.module.over(attempt, Outcome.ERROR, 0, report);
                 return reusable(head) ? Then.KEEP : Then.CLOSE;
             }
@@ -213,10 +217,10 @@
                 box.module.over(attempt, Outcome.CANCELLED, 0, report);
                 return Then.CLOSE;
             }
-            bound = true;
-            return new Passing(attempt, head, events, report).begin(event);
+            progress = new StreamProgress();
+            return new Passing(attempt, head, events, progress, report).begin(first);
         } catch (IOException | RuntimeException | Error e) { // no memory for it: its client must hear of that, too
-            broke(attempt, e, written, bound);
+            broke(attempt, e, written, progress);
             return Then.CLOSE;
         }
     }
@@ -283,40 +287,52 @@
         private final Attempt attempt;
         private final HttpHead head;
         private final EventStream events;
+        private final StreamProgress progress;
         private LoadReport last;
         private double kept;
 
-        Passing(Attempt attempt, HttpHead head, EventStream events, LoadReport report) {
+        Passing(Attempt attempt, HttpHead head, EventStream events, StreamProgress progress, LoadReport report) {
             this.attempt = attempt;
             this.head = head;
             this.events = events;
+            this.progress = progress;
             last = report;
         }
 
-        Then begin(byte[] first) throws IOException {
+        Then begin(StreamPiece first) throws IOException {
             box.module.began(attempt); // before the event: what comes after it may come from another thread
-            Client.Room room = attempt.request.client.event(first, this::resume);
+            Client.Room room = passOn(first);
             return room == Client.Room.MORE ? pass() : stop(room);
         }
 
         private Then pass() throws IOException {
             Client client = attempt.request.client;
             // A box that vanishes says nothing: without a limit its client would hang for as long as the box is away.
-            for (byte[] event = events.next(client.silenceNs()); event != null; event = events.next(client.silenceNs())) {
-                kept = Math.max(kept, EventStream.keptTokens(event));
-                LoadReport said = event[0] == ':' ? comment(event) : null;
-                last = said != null ? said : last;
-                Client.Room room = client.event(event, this::resume);
+            for (StreamPiece piece = events.next(client.silenceNs()); piece != null; piece = events.next(client.silenceNs())) {
+                Client.Room room = passOn(piece);
                 if (room != Client.Room.MORE) {
                     return stop(room);
                 }
             }
+            if (progress.lastChunk(events.endedWithinEvent()) == null) {
+                Logger.warn("the stream of request {} from {} has its last chunk and is not complete: {}", attempt.request.prompt.id(), attempt.box, progress);
+            }
             attempt.keptTokens = (long) kept;
             client.ended();
             box.module.over(attempt, Outcome.OK, kept, last);
             return reusable(head) ? Then.KEEP : Then.CLOSE;
         }
 
+        private Client.Room passOn(StreamPiece piece) {
+            EventContent content = piece.content();
+            progress.took(piece.bytes().length);
+            progress.event(content.says());
+            kept = Math.max(kept, content.keptTokens());
+            LoadReport said = report(content.loadReport());
+            last = said != null ? said : last;
+            return attempt.request.client.event(piece, this::resume);
+        }
+
         private Then stop(Client.Room room) {
             if (room == Client.Room.FULL) {
                 return Then.PAUSE;
@@ -346,22 +362,24 @@
             try {
                 return pass();
             } catch (IOException | RuntimeException | Error e) {
-                broke(attempt, e, true, true);
+                broke(attempt, e, true, progress);
                 return Then.CLOSE;
             }
         }
     }
 
-    private void broke(Attempt attempt, Throwable e, boolean written, boolean bound) {
+    /** @param progress of the stream that its client gets; null where that has not begun */
+    private void broke(Attempt attempt, Throwable e, boolean written, StreamProgress progress) {
         if (attempt.isOver()) {
             return; // called off: the closed connection is how this thread hears of it
         }
+        noteBreak(attempt, e, written, progress);
         close(); // before the module hears of it: the next attempt must not begin while this one's connection is open
         if (!(e instanceof IOException)) {
             SafeLog.error(e, "an attempt ended by a fault");
         }
         noteEnd(e);
-        if (bound) {
+        if (progress != null) {
             attempt.request.client.broken();
             if (e instanceof SocketTimeoutException) {
                 box.module.stalled(attempt);
@@ -371,6 +389,26 @@
         box.module.over(attempt, written ? Outcome.RESET : Outcome.CONNECT_FAILED, 0, null);
     }
 
+    private void noteBreak(Attempt attempt, Throwable e, boolean written, StreamProgress progress) {
+        if (progress == null) {
+            Logger.debug("attempt {} of {} at {} ends before its first event, {}written: {}", attempt.number, attempt.request.prompt.id(), box.id,
+                    written ? "" : "not ", e);
+            return;
+        }
+        progress.breaks(defect(e));
+        Logger.info("the stream of request {} from {} breaks off: {}: {}", attempt.request.prompt.id(), attempt.box, progress, e.getMessage());
+    }
+
+    private static StreamDefect defect(Throwable e) {
+        if (e instanceof SocketTimeoutException) {
+            return StreamDefect.SILENT;
+        }
+        if (e instanceof BadMessage) {
+            return StreamDefect.MALFORMED;
+        }
+        return e instanceof IOException ? StreamDefect.CONNECTION_ENDED : StreamDefect.ROUTER_FAILED;
+    }
+
     /** The end of a kept connection before its answer began may come of its having been kept. */
     private void noteEnd(Throwable e) {
         if (idleNs > 0 && !answered && e instanceof IOException && !(e instanceof BadMessage)) {
@@ -408,11 +446,6 @@
         return keep;
     }
 
-    private LoadReport comment(byte[] event) {
-        String text = new String(event, StandardCharsets.UTF_8).substring(1).strip();
-        return text.startsWith("Srv-Load:") ? report(text.substring("Srv-Load:".length())) : null;
-    }
-
     private LoadReport report(String json) {
         if (json == null || json.isBlank()) {
             return null;
