Reproduce incomplete streams that are ended as if they were complete, known red

A router as a process over two stand-in replicas on loopback, each writing one answer's bytes. The stand-in's own answer is complete now.

--- a/lab/src/test/java/streamproxy/lab/faults/RouterUnderFaults.java
+++ b/lab/src/test/java/streamproxy/lab/faults/RouterUnderFaults.java
@@ -29,13 +29,17 @@
 
     private static final Path JAR = Path.of("../router/target/streamproxy.jar");
     private static final int PATIENCE_S = 30;
-    private static final byte[] STREAM = ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] STREAM = (ReplicaStream.HEAD + ReplicaStream.chunks(ReplicaStream.complete()) + ReplicaStream.LAST_CHUNK)
+            .getBytes(StandardCharsets.US_ASCII);
 
     final FaultInjector faults;
     final DaemonProcess process;
     final Queue<Told> told = new ConcurrentLinkedQueue<>();
     private final StandIns standIns;
+    private volatile StandIns.Script replicas = (message, socket) -> {
+        socket.getOutputStream().write(STREAM);
+        return true;
+    };
     private int asked;
     private final InetSocketAddress listen = RouterProcess.free();
     private final Path folder = Files.createTempDirectory("faults");
@@ -113,10 +117,12 @@
         }
     }
 
-    private boolean serve(StandIns.Message message, Socket socket) throws IOException {
+    /** From now on replicas do that with attempts. */
+    void replicasPlay(StandIns.Script script) { replicas = script; }
+
+    private boolean serve(StandIns.Message message, Socket socket) throws IOException, InterruptedException {
         told.add(new Told(field(message.head(), "Req-Id"), Double.parseDouble(field(message.head(), "Req-Deadline")), System.nanoTime()));
-        socket.getOutputStream().write(STREAM);
-        return true;
+        return replicas.answer(message, socket);
     }
 
     static String field(String head, String name) {
