Read nothing of a connection behind an answer's last chunk

Callers whose replica ended its chunks within an event heard of it 1.0 s late, after the silence limit, and a complete stream with a report line but no empty line behind it was broken off. Cause: what stood before the last chunk was handed on as a piece, and EventStream then asked for the next chunk of an answer that had ended: on a kept connection those bytes are another answer's.

--- a/lab/src/test/java/streamproxy/lab/faults/IncompleteStreamIntegrationTest.java
+++ b/lab/src/test/java/streamproxy/lab/faults/IncompleteStreamIntegrationTest.java
@@ -177,7 +177,7 @@
         }
     }
 
-    @Tag("known-red") @ParameterizedTest @EnumSource void aStreamThatEndsWithinAnEventIsBrokenOffAtOnce(Cut answer) throws Exception {
+    @ParameterizedTest @EnumSource void aStreamThatEndsWithinAnEventIsBrokenOffAtOnce(Cut answer) throws Exception {
         Answer got = ask(HEAD, answer.body, false);
         assertFalse(got.ended, "it got the last chunk behind " + got.body);
         assertTrue(got.ms < AT_ONCE_MS, "it heard of it after " + got.ms + " ms");
@@ -189,7 +189,7 @@
         assertTrue(got.ms < AT_ONCE_MS, "it heard of it after " + got.ms + " ms");
     }
 
-    @Tag("known-red") @ParameterizedTest @EnumSource void aCompleteStreamIsPassedOnUnchangedToItsEnd(Complete answer) throws Exception {
+    @ParameterizedTest @EnumSource void aCompleteStreamIsPassedOnUnchangedToItsEnd(Complete answer) throws Exception {
         for (boolean closes : new boolean[] {false, true}) {
             Answer got = ask(HEAD, answer.body, closes);
             assertTrue(got.ended, "it got no last chunk behind " + got.body);
--- a/router/src/main/java/streamproxy/protocol/EventStream.java
+++ b/router/src/main/java/streamproxy/protocol/EventStream.java
@@ -12,6 +12,7 @@
     private final byte[] buffer = new byte[4096];
     private int next;
     private int end;
+    private boolean lastChunkRead;
     private boolean endedWithinEvent;
 
     /** The answer's head has been read; its chunked body follows. */
@@ -27,6 +28,9 @@
      * @throws java.net.SocketTimeoutException where it is not whole by then
      */
     public StreamPiece next(long silenceNs) throws IOException {
+        if (lastChunkRead) {
+            return null; // what comes next on the connection is another answer's
+        }
         long by = System.nanoTime() + silenceNs;
         // What came of it in earlier reads; it grows by doubling, since a box may send a long event byte by byte.
         ByteArrayOutputStream before = new ByteArrayOutputStream(0);
@@ -37,6 +41,7 @@
                 before.write(buffer, from, next - from);
                 int n = source.chunk(buffer, 0, buffer.length, by);
                 if (n < 0) {
+                    lastChunkRead = true;
                     return rest(before.toByteArray());
                 }
                 next = 0;
