Refuse answers whose length is told in two ways, and heads in the place of trailers

Callers got the last chunk of answers with both Content-Length and chunked, with Transfer-Encoding twice, chunked in HTTP/1.0, with another answer's head or a length in the place of trailers, or with a space ahead of a chunk's size. Cause: a head counted as chunked whatever else it told, and any lines up to an empty one were trailers. RFC 9112 (6.3, 7.1) forbids all six: where such a message ends is not known. A head with two lengths is refused before the first event, where another attempt is free; trailers must be header fields and tell no length, in requests, too.

--- a/router/src/main/java/streamproxy/protocol/HttpReader.java
+++ b/router/src/main/java/streamproxy/protocol/HttpReader.java
@@ -20,6 +20,8 @@
     /** So much of a body is handed on at a time. */
     private static final int PIECE = 4 * 1024;
     private static final String VERSION = "HTTP/1.";
+    private static final String TRANSFER_ENCODING = "Transfer-Encoding";
+    private static final String CONTENT_LENGTH = "Content-Length";
 
     private final Connection from;
     private final StringBuilder line = new StringBuilder();
@@ -85,7 +87,18 @@
         if (part.length < 2 || !part[0].startsWith(VERSION) || !part[1].matches("[1-5]\\d\\d")) {
             throw new BadMessage(502, "malformed status line");
         }
-        return fields(new HttpHead(part[0], part[1], part.length > 2 ? part[2] : ""));
+        HttpHead head = fields(new HttpHead(part[0], part[1], part.length > 2 ? part[2] : ""));
+        requireOneLength(head);
+        return head;
+    }
+
+    /** An answer that tells its length in two ways, or in a way that is not known, may end anywhere (RFC 9112, 6.3). */
+    private static void requireOneLength(HttpHead head) throws BadMessage {
+        int codings = head.count(TRANSFER_ENCODING);
+        int lengths = head.count(CONTENT_LENGTH);
+        if (codings > 0 && (codings > 1 || lengths > 0 || !head.chunked() || !head.method().equals("HTTP/1.1")) || lengths > 1) {
+            throw new BadMessage(502, "an answer of unsound length");
+        }
     }
 
     private void within(long ns) {
@@ -106,11 +119,26 @@
             if (text.isEmpty()) {
                 return head;
             }
-            int colon = text.indexOf(':');
-            if (colon <= 0 || text.substring(0, colon).chars().anyMatch(c -> c <= ' ' || c >= 127)) {
-                throw new BadMessage(400, "malformed header field");
+            String name = fieldName(text);
+            head.add(name, text.substring(name.length() + 1).strip());
+        }
+    }
+
+    private static String fieldName(String field) throws BadMessage {
+        int colon = field.indexOf(':');
+        if (colon <= 0 || field.substring(0, colon).chars().anyMatch(c -> c <= ' ' || c >= 127)) {
+            throw new BadMessage(400, "malformed header field");
+        }
+        return field.substring(0, colon);
+    }
+
+    /** Reads the fields behind the last chunk, which say nothing here; another message's head in their place is none. */
+    private void trailers() throws IOException {
+        for (String text = line(); !text.isEmpty(); text = line()) {
+            String name = fieldName(text);
+            if (name.equalsIgnoreCase(TRANSFER_ENCODING) || name.equalsIgnoreCase(CONTENT_LENGTH)) {
+                throw new BadMessage(400, "a length behind the last chunk");
             }
-            head.add(text.substring(0, colon), text.substring(colon + 1).strip());
         }
     }
 
@@ -151,12 +179,12 @@
 
     /** The size of the body that follows, at most {@link #MOST_BODY}; that for one without a stated length. */
     public int bodySize(HttpHead head) throws BadMessage {
-        String length = head.get("Content-Length");
-        if (head.get("Transfer-Encoding") != null) {
+        String length = head.get(CONTENT_LENGTH);
+        if (head.get(TRANSFER_ENCODING) != null) {
             if (length != null) {
                 throw new BadMessage(400, "both lengths");
             }
-            if (!head.chunked() || head.count("Transfer-Encoding") > 1) {
+            if (!head.chunked() || head.count(TRANSFER_ENCODING) > 1) {
                 throw new BadMessage(501, "unknown transfer coding");
             }
             return (int) mostBody;
@@ -164,7 +192,7 @@
         if (length == null) {
             return 0;
         }
-        if (head.count("Content-Length") > 1 || !length.matches("\\d{1,18}")) {
+        if (head.count(CONTENT_LENGTH) > 1 || !length.matches("\\d{1,18}")) {
             throw new BadMessage(400, "bad length");
         }
         if (Long.parseLong(length) > mostBody) {
@@ -300,16 +328,14 @@
             }
             String size = line();
             int extension = size.indexOf(';');
-            chunkLeft = hexadecimal((extension < 0 ? size : size.substring(0, extension)).strip());
+            chunkLeft = hexadecimal((extension < 0 ? size : size.substring(0, extension)).stripTrailing());
             chunkSeen = true;
             if (chunkLeft > mostBody) {
                 throw new BadMessage(413, "body too large"); // some claim gigabytes, and keep coming
             }
             if (chunkLeft == 0) {
                 mostBytes = MOST_HEAD;
-                while (!line().isEmpty()) {
-                    continue; // trailers say nothing here
-                }
+                trailers();
                 return -1;
             }
         }
