Count the silence of a stream in bytes, and hand long events on in parts

A client whose replica wrote one event of 60 KB, 1 KB each 50 ms, was cut off after 1.0 s; as the first event it got 503. Cause: the whole event had the time that a silence has, in our unit and not in what the peer does. Evidence: IncompleteStreamIntegrationTest.aLongEvent... and aLongFirstEvent..., known red before. The test of an event that comes byte by byte without end is as it was, and passes.

--- a/router/src/main/java/streamproxy/protocol/EventContent.java
+++ b/router/src/main/java/streamproxy/protocol/EventContent.java
@@ -22,6 +22,8 @@
     private static final String LOAD_REPORT = "Srv-Load:";
     private static final String FINISH_REASON = "\"finish_reason\"";
     private static final int NOT_TOLD = -1;
+    /** That of a comment, or of an event that is not whole yet. */
+    static final EventContent NOTHING = new EventContent(Set.of(), NOT_TOLD, null);
 
     /** Whether it says nothing. */
     public boolean isComment() { return says.isEmpty(); }
--- a/router/src/main/java/streamproxy/protocol/HttpReader.java
+++ b/router/src/main/java/streamproxy/protocol/HttpReader.java
@@ -13,6 +13,8 @@
     private static final int MOST_HEAD = 16 * 1024;
     /** The most bytes of a line between chunks. */
     private static final int MOST_CHUNK_LINE = 256;
+    /** A line between chunks may take so much longer than a silence, however its bytes come. */
+    private static final long CHUNK_LINE_NS = 2_000_000_000L;
     /** A box writes an answer's head in one piece: one that is not whole so long after its first byte never will be. */
     private static final long WHOLE_HEAD = 150_000_000L;
     /** So many 1xx answers may come ahead of the one that counts. */
@@ -30,6 +32,7 @@
     private int mostBytes;
     private boolean timed; // else whoever has the reader read ends the connection when it takes too long
     private long readBy;
+    private long mostSilenceNs; // 0: only readBy counts
     private long mostBody = MOST_BODY;
     private long chunkLeft;
     private boolean chunkSeen;
@@ -175,7 +178,13 @@
     }
 
     /** How long the next read may wait; 0 for ever. */
-    private long left() { return timed ? Math.max(1, readBy - System.nanoTime()) : 0; }
+    private long left() {
+        if (!timed) {
+            return 0;
+        }
+        long left = Math.max(1, readBy - System.nanoTime());
+        return mostSilenceNs > 0 ? Math.min(mostSilenceNs, left) : left;
+    }
 
     /** The size of the body that follows, at most {@link #MOST_BODY}; that for one without a stated length. */
     public int bodySize(HttpHead head) throws BadMessage {
@@ -319,8 +328,26 @@
         return chunk(to, at, most);
     }
 
+    /**
+     * Reads some bytes of a chunked body, each of which may take so long; -1 once the last chunk was read.
+     *
+     * @throws java.net.SocketTimeoutException where one takes longer, or a line between chunks does
+     */
+    public int chunkWithin(byte[] to, long silenceNs) throws IOException {
+        timed = true;
+        mostSilenceNs = silenceNs;
+        try {
+            return chunk(to, 0, to.length);
+        } finally {
+            mostSilenceNs = 0;
+        }
+    }
+
     private int chunk(byte[] to, int at, int most) throws IOException {
         if (chunkLeft == 0) {
+            if (mostSilenceNs > 0) {
+                readBy = System.nanoTime() + mostSilenceNs + CHUNK_LINE_NS;
+            }
             headBytes = 0;
             mostBytes = MOST_CHUNK_LINE;
             if (chunkSeen && !line().isEmpty()) {
@@ -339,7 +366,8 @@
                 return -1;
             }
         }
-        int n = from.read(to, at, (int) Math.min(most, chunkLeft), from.holdsMore() ? 0 : left());
+        long waitNs = mostSilenceNs > 0 ? mostSilenceNs : left();
+        int n = from.read(to, at, (int) Math.min(most, chunkLeft), from.holdsMore() ? 0 : waitNs);
         if (n < 0) {
             throw new EOFException("closed within a chunk");
         }
--- a/router/src/main/java/streamproxy/protocol/StreamPiece.java
+++ b/router/src/main/java/streamproxy/protocol/StreamPiece.java
@@ -2,9 +2,18 @@
 
 import java.util.Arrays;
 
-/** An event or a comment of an answer's stream, unchanged, with the empty line that ends it, and what it says. */
-public record StreamPiece(byte[] bytes, EventContent content) {
-    static StreamPiece of(byte[] event) { return new StreamPiece(event, EventContent.of(event)); }
+/**
+ * An event or a comment of an answer's stream, unchanged, with the empty line that ends it, or a part of one.
+ *
+ * @param content   what the event says that ends with this piece; nothing for another part
+ * @param endsEvent whether an event or a comment ends with this piece
+ */
+public record StreamPiece(byte[] bytes, EventContent content, boolean endsEvent) {
+    /** Some of an event that is still coming. */
+    static StreamPiece part(byte[] bytes) { return new StreamPiece(bytes, EventContent.NOTHING, false); }
+
+    /** Whether it is a comment that says nothing to its client. */
+    public boolean isComment() { return endsEvent && content.isComment(); }
 
     /** The same with those bytes before it. */
     public StreamPiece behind(byte[] before) {
@@ -13,6 +22,6 @@
         }
         byte[] together = Arrays.copyOf(before, before.length + bytes.length);
         System.arraycopy(bytes, 0, together, before.length, bytes.length);
-        return new StreamPiece(together, content);
+        return new StreamPiece(together, content, endsEvent);
     }
 }
--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -39,7 +39,7 @@
 
     /** The rest of an answer that is no stream comes at once, or not at all. */
     private static final long REST = 1_000_000_000L;
-    /** The first event comes with the head; a stream without it has been spoilt, and there may be time for another. */
+    /** The first event comes with the head; a stream without a byte of it for so long has been spoilt, and there may be time for another. */
     private static final long FIRST_EVENT = 500_000_000L;
     /** The most bytes of comments ahead of the first event. */
     private static final int MOST_COMMENTS = 16 * 1024;
@@ -226,6 +226,7 @@
                 return Then.CLOSE;
             }
             progress = begun;
+            events.begins();
             return new Passing(attempt, head, events, progress, report).begin(first);
         } catch (IOException | RuntimeException | Error e) { // no memory for it: its client must hear of that, too
             broke(attempt, e, written, progress);
@@ -233,11 +234,11 @@
         }
     }
 
-    /** The first event, behind any comments that stand before it; null where the last chunk comes first. */
+    /** The first event, or the first part of it, behind any comments that stand before it; null where the last chunk comes first. */
     private static StreamPiece firstEvent(EventStream events) throws IOException {
         StreamPiece first = events.next(FIRST_EVENT);
         ByteArrayOutputStream comments = new ByteArrayOutputStream(0);
-        while (first != null && first.content().isComment()) {
+        while (first != null && first.isComment()) {
             comments.writeBytes(first.bytes());
             if (comments.size() > MOST_COMMENTS) {
                 throw new BadMessage(502, "too much ahead of the first event");
