--- a/lab/src/main/java/streamproxy/lab/soak/SoakAudit.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakAudit.java
@@ -53,6 +53,8 @@
             case CUT -> {
                 if (!replicas.brokeOff(request)) {
                     add(Rule.UNANSWERED, request, "its stream was cut off, and not by its replica: " + request.note);
+                } else if (replicas.heardLate(request)) {
+                    add(Rule.ENDED_LATE, request, "its client heard late that its stream had ended: " + request.note);
                 }
             }
             default -> { }
--- a/lab/src/main/java/streamproxy/lab/soak/SoakBreak.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakBreak.java
@@ -8,6 +8,8 @@
         UNANSWERED,
         /** An answer is not what the replica made for that request. */
         WRONG_ANSWER,
+        /** The end of a stream that is not complete reached its client late. */
+        ENDED_LATE,
         /** A replica was sent bytes that are no client's request in its form. */
         FOREIGN_BYTES,
         /** A replica was told of more time than its client had left. */
