--- a/router/src/main/java/streamproxy/protocol/EventStream.java
+++ b/router/src/main/java/streamproxy/protocol/EventStream.java
@@ -28,7 +28,7 @@
     /** The event that is coming, without what of it is still in the buffer. */
     private final ByteArrayOutputStream event = new ByteArrayOutputStream(0);
     private int handedOut; // bytes of that event
-    private long beganAt; // when its first byte was there
+    private long beganAt; // when its first byte was there, or reading was resumed within it
     private boolean lineEmpty = true;
     private boolean begun;
     private boolean lastChunkRead;
@@ -40,6 +40,9 @@
         from.startChunks();
     }
 
+    /** It was not read for a while, for want of room at its client: the time of the event that is coming begins anew. */
+    public void resumes() { beganAt = System.nanoTime(); }
+
     /** Its client has got the first event, or a part of it. */
     public void begins() { begun = true; }
 
@@ -53,6 +56,9 @@
         if (lastChunkRead) {
             return null; // what comes next on the connection is another answer's
         }
+        if (event.size() == 0) {
+            beganAt = System.nanoTime(); // unless nothing of it has come yet
+        }
         int from = next;
         while (true) {
             if (next == end) {
@@ -102,12 +108,11 @@
     }
 
     private boolean isDueInParts() {
-        int waiting = event.size() - handedOut;
-        if (waiting == 0) {
+        if (event.size() == handedOut) {
             return false;
         }
         long comingNs = System.nanoTime() - beganAt;
-        return begun ? waiting >= BUFFER || comingNs >= PART_AFTER_NS : comingNs >= FIRST_PART_AFTER_NS && isData();
+        return begun ? comingNs >= PART_AFTER_NS : comingNs >= FIRST_PART_AFTER_NS && isData();
     }
 
     /** Whether the event that is coming has data, as far as it has come. */
--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -390,6 +390,7 @@
 
         private Then goOn() {
             try {
+                events.resumes();
                 return pass();
             } catch (IOException | RuntimeException | Error e) {
                 broke(attempt, e, true, progress);
