Refuse heads of more than 128 fields

Cause: only the bytes of a head were bounded, and each field costs two strings and two entries. A head of more than 128 fields is answered with 431.

--- a/router/src/main/java/streamproxy/protocol/HttpHead.java
+++ b/router/src/main/java/streamproxy/protocol/HttpHead.java
@@ -39,6 +39,9 @@
         return null;
     }
 
+    /** How many fields it has. */
+    int fields() { return names.size(); }
+
     int count(String name) { return (int) names.stream().filter(n -> n.equalsIgnoreCase(name)).count(); }
 
     public boolean chunked() {
--- a/router/src/main/java/streamproxy/protocol/HttpReader.java
+++ b/router/src/main/java/streamproxy/protocol/HttpReader.java
@@ -11,6 +11,8 @@
     /** The most bytes of a body, as the protocol has it. */
     public static final int MOST_BODY = 256 * 1024;
     private static final int MOST_HEAD = 16 * 1024;
+    /** Each takes far more memory here than bytes on its way. */
+    private static final int MOST_FIELDS = 128;
     /** The most bytes of a line between chunks. */
     private static final int MOST_CHUNK_LINE = 256;
     /** A line between chunks may take so much longer than a silence, however its bytes come. */
@@ -122,6 +124,9 @@
             if (text.isEmpty()) {
                 return head;
             }
+            if (head.fields() == MOST_FIELDS) {
+                throw new BadMessage(431, "too many header fields");
+            }
             String name = fieldName(text);
             head.add(name, text.substring(name.length() + 1).strip());
         }
--- a/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
@@ -174,6 +174,7 @@
             {"413", good.replace("Content-Length: 2", "Content-Length: 262145")},
             {"413", Caller.prompt("a1", "x".repeat(300_000))},
             {"431", good.replace("app.svc", "a".repeat(20_000))},
+            {"431", good.replace("Host:", "a:\r\n".repeat(200) + "Host:")},
             {"404", good.replace("/v1/chat/completions", "/v1/poems")},
             {"405", good.replace("POST", "GET")},
             {"505", good.replace("HTTP/1.1", "HTTP/1.0")},
