Count the memory of an active connection at what its thread's stack takes

Reproduced here: 411 streams at a time, 854 threads, 182,680 to 188,900 kB in four runs. By the kernel's map each thread touches 92 to 96 KB of its stack, the heap is resident whole (49 MB), malloc's arenas matter little (183,912 kB with one, 188,900 with two). The limit of requests at a time took 140 KB for an active connection; it takes 155 now: 371 streams in place of 411, 175,516 to 177,360 kB in three runs of CrowdMemoryIntegrationTest, which holds the process to the configuration's limit. With 1,024 descriptors 410 in place of 455. A stream still needs two threads while its client lags by less than it may; that stays open.

--- a/decision/src/main/java/streamproxy/limits/ConnectionLimits.java
+++ b/decision/src/main/java/streamproxy/limits/ConnectionLimits.java
@@ -19,13 +19,10 @@
         int boxMost, int connectingMost, long clientIdleNs, long clientMuteNs) {
     /** Descriptors for the program's own: the JVM's files and pipes, the listeners, the list's calls and the operators'. */
     public static final int OWN_DESCRIPTORS = 64;
-    /**
-     * What the program takes with a full heap and no connection, in MB: measured 49 at the start, and 59 at most with
-     * 217 descriptors held under crowds of thousands on 104 MB (the ops bench's crowd+term day, seed 3).
-     */
+    /** What the program takes with a full heap and no connection, in MB. */
     private static final int OWN_MB = 64;
-    /** What an active connection adds with its thread and buffers, in KB; 148 MB were measured with 605 of them. */
-    private static final int ACTIVE_KB = 140;
+    /** What an active connection may add, in KB: most of its thread's stack, and buffers. */
+    private static final int ACTIVE_KB = 155;
     /** What an idle one adds outside the heap, in KB: the kernel's socket, file and poll entry. */
     private static final int IDLE_KB = 4;
     /** What an idle client's connection takes of the heap, in bytes, the JDK's channel included; see docs/connections.md. */
