Take no probe's answer for proof of readiness whose report is cut short

While the list of replicas is unconfirmed, attempts go only where a probe was answered well. A report that is cut short was logged as unreadable, and the probe counted as answered well all the same: requests went to that replica (class of the incident: nothing spoke against it). UnconfirmedListIntegrationTest.aProbesAnswerThatIsCutShort...: more than ten requests reached it before, none now. Such an answer counts as a connection's end: it proves neither readiness nor trouble, and its connection is not used again. An empty body, an object without known fields, and any body where the deployment has no reports count as before.

--- a/decision/src/main/java/streamproxy/decision/ReportLayout.java
+++ b/decision/src/main/java/streamproxy/decision/ReportLayout.java
@@ -25,6 +25,9 @@
         }
     }
 
+    /** Whether replicas tell no report. */
+    public boolean isEmpty() { return Arrays.stream(names).allMatch(String::isEmpty); }
+
     private static int named(String name) {
         return switch (name) {
             case "q" -> 1;
--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -471,9 +471,14 @@
             HttpHead head = reader.answer(PROBE_WAIT);
             answered = true;
             String body = new String(reader.body(head, System.nanoTime() + PROBE_WAIT), StandardCharsets.UTF_8);
-            outcome = head.status() == 200 ? Outcome.OK : Outcome.ERROR;
             report = report(body);
-            keep = reusable(head);
+            boolean complete = head.status() != 200 || box.layout.isEmpty() || body.isBlank() || isObject(body);
+            outcome = head.status() == 200 ? Outcome.OK : Outcome.ERROR;
+            if (!complete) { // it proves nothing, neither readiness nor trouble
+                Logger.info("a probe's answer of {} is not complete", to);
+                outcome = Outcome.RESET;
+            }
+            keep = complete && reusable(head);
         } catch (SocketTimeoutException e) {
             outcome = written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED;
         } catch (IOException e) {
@@ -487,6 +492,8 @@
         return keep;
     }
 
+    private static boolean isObject(String json) { return Json.isObject(json.getBytes(StandardCharsets.UTF_8)); }
+
     private LoadReport report(String json) {
         if (json == null || json.isBlank()) {
             return null;
--- a/router/src/test/java/streamproxy/stories/ScriptedPeer.java
+++ b/router/src/test/java/streamproxy/stories/ScriptedPeer.java
@@ -77,6 +77,7 @@
     final BlockingQueue<Exchange> attempts = new LinkedBlockingQueue<>();
     private volatile Script script;
     private volatile boolean drains;
+    private volatile String report = "{\"lat_ms\":5,\"rif\":0,\"q\":0,\"x1\":0}";
 
     ScriptedPeer(Script script) throws IOException {
         this.script = script;
@@ -90,6 +91,9 @@
     /** From now on it answers probes as a replica does that drains; it goes on taking attempts. */
     void drain() { drains = true; }
 
+    /** From now on it answers probes with that report. */
+    void report(String next) { report = next; }
+
     String address() { return "127.0.0.1:" + server.getLocalPort(); }
 
     /** Closes what is open, as a process that dies or tidies up does. */
@@ -128,7 +132,7 @@
                 Exchange exchange = new Exchange(head, new String(body, StandardCharsets.UTF_8), socket);
                 if (head.startsWith("GET /status/load ")) {
                     probes.incrementAndGet();
-                    exchange.answer(drains ? "503 Service Unavailable" : "200 OK", "", drains ? "" : "{\"lat_ms\":5,\"rif\":0,\"q\":0,\"x1\":0}");
+                    exchange.answer(drains ? "503 Service Unavailable" : "200 OK", "", drains ? "" : report);
                 } else {
                     attempts.add(exchange);
                     script.play(exchange);
--- a/router/src/test/java/streamproxy/stories/UnconfirmedListIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/UnconfirmedListIntegrationTest.java
@@ -82,6 +82,20 @@
         assertEquals(0, late, "attempts after the grace, of " + sentToDraining.size());
     }
 
+    /** A report that is cut short shows no whole answer, and an answer that is not whole proves nothing. */
+    @Test void aProbesAnswerThatIsCutShortProvesNoReadiness() throws Exception {
+        Deployment deployment = keep(Deployment.of(draining, other));
+        draining.report("{\"lat_ms\":5,\"rif\":0,\"q");
+        deployment.list.play(e -> e.answer("503 Busy", "", ""));
+        routerIn(deployment);
+        await("the other one serves", () -> status().equals("200"));
+        for (int i = 0; i < 20; i++) {
+            status();
+        }
+        assertTrue(draining.probes.get() > 0, "it was asked");
+        assertEquals(List.of(), List.copyOf(sentToDraining));
+    }
+
     /** The incident: a service with more callers than it can answer in time turns each call away. */
     @Test void whereEachCallIsTurnedAwayNothingIsSentToAReplicaWhoseDrainCountsAsTold() throws Exception {
         Deployment deployment = keep(Deployment.of(draining, other));
