Write no request to its end where a kept connection has spoken before it

Cause: a kept connection was looked at before the first byte, and not again before the last, though a large or slow request takes long in between. ReplicaIntegrationTest.aLateSecondAnswer... failed before: all 8,388,608 bytes were written. AttemptGate.commit asks for bytes that have come on a kept connection now; such an attempt has never run, and its connection is reset. On a new connection an early answer can only be this request's, and counts as before.

--- a/decision/src/main/java/streamproxy/dispatch/AttemptGate.java
+++ b/decision/src/main/java/streamproxy/dispatch/AttemptGate.java
@@ -19,6 +19,8 @@
         REPLICA_NOT_READY,
         /** A repeat is not harmless any more, or it is no longer known whether the replica is ready. */
         TOO_LATE,
+        /** Its replica has said something on a kept connection before it had the request: that answers another one. */
+        ANSWERED_EARLY,
         /** Its client has left. */
         CLIENT_LEFT,
         /** Its client has less left than its replica is told, or hardly anything. */
@@ -41,6 +43,9 @@
         /** Whether its replica may be sent new attempts. */
         boolean replicaReady();
 
+        /** Whether bytes have come on a kept connection that belong to no answer to this attempt. */
+        boolean answeredEarly();
+
         /** Whether its client still waits; looked at when it is asked. */
         boolean clientWaits();
 
@@ -90,6 +95,9 @@
         if (!bounds.deadline.covers(toldNs, now)) {
             return Verdict.OUT_OF_TIME;
         }
+        if (facts.answeredEarly()) {
+            return Verdict.ANSWERED_EARLY;
+        }
         return now - lookedAt < LOOK_AGAIN_NS || facts.clientWaits() ? Verdict.GO : Verdict.CLIENT_LEFT;
     }
 
--- a/decision/src/test/java/streamproxy/dispatch/GatesTest.java
+++ b/decision/src/test/java/streamproxy/dispatch/GatesTest.java
@@ -24,7 +24,9 @@
     private final List<String> told = new ArrayList<>();
     private final RuleMonitor monitor = new RuleMonitor((rule, id) -> told.add(rule.word() + " " + id));
 
-    private record Found(boolean calledOff, boolean replicaReady, boolean clientWaits, long now) implements AttemptGate.Facts { }
+    private record Found(boolean calledOff, boolean replicaReady, boolean answeredEarly, boolean clientWaits, long now) implements AttemptGate.Facts {
+        Found(boolean calledOff, boolean replicaReady, boolean clientWaits, long now) { this(calledOff, replicaReady, false, clientWaits, now); }
+    }
 
     private static Verdict begin(boolean calledOff, boolean ready, boolean waits, long now) {
         return AttemptGate.begin(BOUNDS, new Found(calledOff, ready, waits, now));
@@ -49,6 +51,7 @@
         assertEquals(Verdict.OUT_OF_TIME, commit(false, true, NOW + 61 * MS, 880 * MS));
         assertEquals(Verdict.CALLED_OFF, commit(true, true, NOW, 880 * MS));
         assertEquals(Verdict.TOO_LATE, commit(false, true, 1_500 * MS, 400 * MS));
+        assertEquals(Verdict.ANSWERED_EARLY, AttemptGate.commit(BOUNDS, new Found(false, true, true, true, NOW), 880 * MS, NOW));
         assertEquals(Verdict.CLIENT_LEFT, commit(false, false, NOW + 30 * MS, 880 * MS));
         assertEquals(Verdict.GO, commit(false, false, NOW + 10 * MS, 880 * MS), "looked at just before");
     }
--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -258,6 +258,8 @@
 
         @Override public boolean replicaReady() { return box.ready(); }
 
+        @Override public boolean answeredEarly() { return idleNs > 0 && (connection.holdsMore() || connection.hasArrived()); }
+
         @Override public boolean clientWaits() { return attempt.request.client.isWaiting(); }
 
         @Override public long now() { return box.clock.now(); }
--- a/router/src/test/java/streamproxy/routing/ReplicaIntegrationTest.java
+++ b/router/src/test/java/streamproxy/routing/ReplicaIntegrationTest.java
@@ -358,6 +358,31 @@
         });
     }
 
+    /** A second answer to the request before comes late on a kept connection: it is not taken for the answer to the next. */
+    @Test public void aLateSecondAnswerIsNotTakenForTheNextRequests() throws Exception {
+        try (ServerSocket server = new ServerSocket()) {
+            server.setReceiveBufferSize(4 * 1024);
+            server.setSoTimeout(10_000);
+            server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+            Replicas.Desk desk = desk(0, 0);
+            Replica box = box(desk, server, new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk)));
+            assertTrue(box.send(attempt("first")));
+            try (Socket socket = server.accept()) {
+                turnDown(socket);
+                await("it rests", () -> box.idleLongest != Actor.NEVER);
+                Attempt next = attempt("next", () -> true, 4 * SECOND, LARGE_BODY);
+                assertTrue(box.send(next));
+                assertTrue(readHead(socket).contains("Req-Id: next"));
+                socket.getOutputStream().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\ndata: x\r\n".getBytes());
+                int read = readToEnd(socket);
+                assertTrue("read " + read, read < LARGE_BODY);
+                await("the module hears of it", next::isOver);
+                assertEquals("it was not whole", 0, next.writtenAt);
+            }
+            box.retire();
+        }
+    }
+
     @Test public void aRepeatWhoseWindowPassesWhileItIsWrittenDoesNotBegin() throws Exception {
         Attempt attempt = attempt("a", () -> true, SECOND / 5, LARGE_BODY);
         assertLastByteIsNotWritten(attempt, () -> clock.now() >= attempt.bounds.writeBy());
