Give a replica's stream, and what ends an attempt, classes of their own

ReplicaConnection had grown to 500 lines: connecting, attempts, streams, probes and what failures mean. ReplicaStream passes a stream on, AttemptFailure says what something thrown means for attempt and stream; ReplicaConnection (412 lines) calls what replicas are called elsewhere. A resume without a thread ends as any other break does.

--- a/router/src/main/java/streamproxy/routing/Attempt.java
+++ b/router/src/main/java/streamproxy/routing/Attempt.java
@@ -6,7 +6,7 @@
 import streamproxy.timing.TimerWheel;
 import streamproxy.transport.Connection;
 
-/** One sending of a request to one model box. */
+/** One sending of a request to one replica. */
 final class Attempt {
     private enum Phase { OUT, BOUND, OVER }
 
@@ -18,23 +18,23 @@
     /** What it is bound by: a repeat is harmless within its class's window only, and what is known of the replica binds for a while. */
     final AttemptGate.Bounds bounds;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.OUT);
-    final String box; // its uid
+    final String replica; // its uid
     final Routing.Choice choice;
-    long reportNs; // the age of the report that its box was chosen by, negative where there was none
+    long reportNs; // the age of the report that its replica was chosen by, negative where there was none
     TimerWheel.Timer timeOut; // the module's actor alone touches it, and the next three
     Routing.Outcome outcome;
     long tookNs = -1;
-    boolean began; // counted among its box's streams
+    boolean began; // counted among its replica's streams
     volatile long writtenAt; // 0 until its bytes have gone out
     volatile long keptTokens = -1;
     private volatile Connection connection;
 
     /** @param writeBy when it may begin at the latest */
-    Attempt(Request request, int number, long boxId, String box, Routing.Choice choice, long sentAt, long endsAt, long writeBy) {
+    Attempt(Request request, int number, long boxId, String replica, Routing.Choice choice, long sentAt, long endsAt, long writeBy) {
         this.request = request;
         this.number = number;
         this.boxId = boxId;
-        this.box = box;
+        this.replica = replica;
         this.choice = choice;
         this.sentAt = sentAt;
         this.endsAt = endsAt;
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -398,7 +398,7 @@
         }
         m.attempt.outcome = outcome;
         m.attempt.tookNs = now - m.attempt.sentAt;
-        Logger.debug("attempt {} of {} at {}: {} after {} ms, chosen as {}", m.attempt.number, request.prompt.id(), m.attempt.box,
+        Logger.debug("attempt {} of {} at {}: {} after {} ms, chosen as {}", m.attempt.number, request.prompt.id(), m.attempt.replica,
                 outcome, m.attempt.tookNs / MS, m.attempt.choice);
         records.ended(m.attempt);
         policy.on(now, new Routing.Ended(request.number, m.attempt.number, m.attempt.boxId, outcome, request.over,
@@ -411,7 +411,7 @@
         if (!stalls.stalled(attempt.boxId, now)) {
             return Outcome.CANCELLED;
         }
-        records.box(attempt.box, null, "stalls", "its streams fell silent together");
+        records.box(attempt.replica, null, "stalls", "its streams fell silent together");
         return Outcome.ERROR;
     }
 
--- a/router/src/main/java/streamproxy/routing/Records.java
+++ b/router/src/main/java/streamproxy/routing/Records.java
@@ -41,7 +41,7 @@
         String decision = word(bound == null ? request.choice : bound.choice);
         long from = request.takenAt;
         to.accept(new Event.Answered(nowMs(), request.prompt.id(), request.prompt.clazz(), request.prompt.tenant(), request.prompt.key(),
-                end.how(), bound == null ? "" : bound.box, decision, tried, request.prompt.deadlineNs(),
+                end.how(), bound == null ? "" : bound.replica, decision, tried, request.prompt.deadlineNs(),
                 bound == null ? UNKNOWN : bound.sentAt - from,
                 bound == null || bound.writtenAt == 0 ? UNKNOWN : bound.writtenAt - bound.sentAt,
                 end.firstAt() == 0 ? UNKNOWN : end.firstAt() - from, end.at() - from, end.events(),
@@ -96,7 +96,7 @@
     }
 
     private static Event.Tried tried(Attempt attempt) {
-        return new Event.Tried(attempt.box, attempt.outcome == null ? "moot" : attempt.outcome.name().toLowerCase(Locale.ROOT),
+        return new Event.Tried(attempt.replica, attempt.outcome == null ? "moot" : attempt.outcome.name().toLowerCase(Locale.ROOT),
                 word(attempt.choice), attempt.tookNs);
     }
 
--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -1,6 +1,5 @@
 package streamproxy.routing;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
@@ -12,37 +11,28 @@
 import java.util.function.Supplier;
 import org.tinylog.Logger;
 import streamproxy.dispatch.AttemptGate;
-import streamproxy.protocol.BadMessage;
-import streamproxy.protocol.EventContent;
 import streamproxy.protocol.EventStream;
 import streamproxy.protocol.HttpHead;
 import streamproxy.protocol.HttpReader;
 import streamproxy.protocol.HttpWriter;
 import streamproxy.protocol.Json;
 import streamproxy.protocol.PassedOn;
-import streamproxy.protocol.StreamPiece;
 import streamproxy.decision.Routing.LoadReport;
 import streamproxy.decision.Routing.Outcome;
 import streamproxy.limits.IntrusiveList;
-import streamproxy.streams.CompleteStream;
 import streamproxy.streams.StreamDefect;
-import streamproxy.streams.StreamProgress;
 import streamproxy.transport.Connection;
 import streamproxy.transport.QuietConnections;
 import streamproxy.transport.SafeLog;
 import streamproxy.transport.Threads;
 
-/** One connection to a model box, and the thread that connects, writes and reads on it while it has an errand. */
+/** One connection to a replica, and the thread that connects, writes and reads on it while it has an errand. */
 final class ReplicaConnection extends IntrusiveList.Link implements QuietConnections.Owner {
     /** An attempt to carry, or, where that is null, a probe asked for at that time. */
     record Errand(Attempt attempt, long probeAt) { }
 
     /** The rest of an answer that is no stream comes at once, or not at all. */
     private static final long REST = 1_000_000_000L;
-    /** The first event comes with the head; a stream without a byte of it for so long has been spoilt, and there may be time for another. */
-    private static final long FIRST_EVENT = 500_000_000L;
-    /** The most bytes of comments ahead of the first event. */
-    private static final int MOST_COMMENTS = 16 * 1024;
     /** A probe without an answer for so long has none. */
     private static final long PROBE_WAIT = 1_000_000_000L;
     /** The module's actor ends an attempt in time; this only keeps a thread from waiting for ever. */
@@ -55,21 +45,22 @@
     /** What to do with the connection: keep it for the next errand, close it, or nothing as its errand is not over. */
     private enum Then { KEEP, CLOSE, PAUSE }
 
-    private final Replica box;
+    private final Replica replica;
     private final Connection connection;
     private final InetSocketAddress to;
     private HttpReader reader; // none while it is idle, as is the next
     private HttpWriter writer;
     private boolean connected;
     private boolean refused;
-    private final AtomicBoolean counted = new AtomicBoolean(); // its end was told to the box
+    private final AtomicBoolean counted = new AtomicBoolean(); // its end was told to the replica
     private boolean answered;
+    private ReplicaStream bound; // what the attempt's client gets; null before its first event
     private long idleNs; // before this errand; 0 for a new connection
     private volatile long idleSince;
-    private QuietConnections.Watch watch; // the box's actor alone touches it
+    private QuietConnections.Watch watch; // the replica's actor alone touches it
 
-    ReplicaConnection(Replica box, Connection connection, InetSocketAddress to) {
-        this.box = box;
+    ReplicaConnection(Replica replica, Connection connection, InetSocketAddress to) {
+        this.replica = replica;
         this.connection = connection;
         this.to = to;
     }
@@ -80,7 +71,7 @@
             Threads.start("to " + to, () -> carryOut(errand));
             return true;
         } catch (OutOfMemoryError e) {
-            Logger.warn(e, "no thread for a connection to a box");
+            Logger.warn(e, "no thread for a connection to a replica");
             close();
             return false;
         }
@@ -92,24 +83,24 @@
     private void close() {
         connection.close();
         if (counted.compareAndSet(false, true)) {
-            box.closed(connected, refused);
+            replica.closed(connected, refused);
         }
     }
 
     // ---- At rest ------------------------------------------------------------------------------------
 
-    /** Has it watched until that time on the box's clock: the box may close it, or say what nobody asked for. */
-    void watchUntil(long until) { watch = box.quiet.add(connection, System.nanoTime() + until - box.clock.now(), this); }
+    /** Has it watched until that time on the replica's clock: the replica may close it, or say what nobody asked for. */
+    void watchUntil(long until) { watch = replica.quiet.add(connection, System.nanoTime() + until - replica.clock.now(), this); }
 
     /** Ends the watch, and tells on another thread whether the connection may still be used. */
     void wake(Consumer<Boolean> then) {
-        box.quiet.release(watch, then);
+        replica.quiet.release(watch, then);
         watch = null;
     }
 
-    @Override public void arrived() { box.over(this); } // it said what nobody asked for
+    @Override public void arrived() { replica.over(this); } // it said what nobody asked for
 
-    @Override public void over() { box.over(this); }
+    @Override public void over() { replica.over(this); }
 
     // ---- Errands ------------------------------------------------------------------------------------
 
@@ -117,7 +108,7 @@
 
     long idleSince() { return idleSince; }
 
-    /** For an idle one: whether the box has neither closed it nor sent what nobody asked for. */
+    /** For an idle one: whether the replica has neither closed it nor sent what nobody asked for. */
     boolean quiet() { return connection.look() == Connection.Look.QUIET; }
 
     private void carryOut(Errand errand) {
@@ -125,12 +116,12 @@
             answered = false;
             reader = new HttpReader(connection);
             writer = new HttpWriter(connection);
-            idleNs = connected ? box.clock.now() - idleSince : 0;
+            idleNs = connected ? replica.clock.now() - idleSince : 0;
             finish(() -> errand.attempt == null ? probe(errand.probeAt) ? Then.KEEP : Then.CLOSE : carry(errand.attempt));
         } catch (RuntimeException | Error e) { // no memory for it: unsaid, the module would wait for its end
             SafeLog.error(e, "an attempt or a probe ended by a fault");
             close();
-            box.turnDown(errand);
+            replica.turnDown(errand);
         }
     }
 
@@ -146,12 +137,12 @@
             }
             if (then == Then.KEEP && !connection.isClosed()) {
                 if (idleNs > 0) {
-                    box.keptWell();
+                    replica.keptWell();
                 }
-                idleSince = box.clock.now();
+                idleSince = replica.clock.now();
                 reader = null;
                 writer = null;
-                box.idle(this);
+                replica.idle(this);
             } else {
                 close();
             }
@@ -161,13 +152,13 @@
     private void connect() throws IOException {
         if (!connected) {
             try {
-                connection.connect(to, box.deployment.connectTimeoutNs());
+                connection.connect(to, replica.deployment.connectTimeoutNs());
             } catch (IOException e) {
                 refused = !connection.isClosed(); // else it was called off
                 throw e;
             }
             connected = true;
-            box.opened();
+            replica.opened();
         }
     }
 
@@ -177,7 +168,7 @@
     private Then carry(Attempt attempt) {
         attempt.carriedBy(connection);
         boolean written = false;
-        StreamProgress progress = null;
+        bound = null;
         try {
             connect();
             PassedOn request = attempt.request.passedOn();
@@ -199,53 +190,79 @@
             written = true; // from here on it may run
             writer.passOnLast(request);
             attempt.writtenAt = facts.now();
-            AttemptGate.broken(attempt.bounds, told, attempt.writtenAt).forEach(rule -> box.rules.broken(rule, attempt.request.prompt.id()));
+            AttemptGate.broken(attempt.bounds, told, attempt.writtenAt).forEach(rule -> replica.rules.broken(rule, attempt.request.prompt.id()));
             noteHeldUp(attempt, attempt.writtenAt - lookedAt);
             Logger.debug("attempt {} of {} at {} is told {} ms, {} ms after the request was read; written in {} ms", attempt.number,
-                    attempt.request.prompt.id(), box.id, TimeUnit.NANOSECONDS.toMillis(told),
+                    attempt.request.prompt.id(), replica.id, TimeUnit.NANOSECONDS.toMillis(told),
                     TimeUnit.NANOSECONDS.toMillis(lookedAt - attempt.request.takenAt), TimeUnit.NANOSECONDS.toMillis(attempt.writtenAt - lookedAt));
             HttpHead head = reader.answer(attempt.endsAt - attempt.writtenAt + BEYOND);
             answered = true;
             LoadReport report = report(head.get("Srv-Load"));
             if (head.status() != 200 || !head.chunked()) {
-                box.module.over(attempt, outcome(head), 0, report);
+                replica.module.over(attempt, outcome(head), 0, report);
                 return wholeAfter(head) ? Then.KEEP : Then.CLOSE;
             }
-            EventStream events = new EventStream(reader);
-            StreamPiece first = firstEvent(events);
-            StreamProgress begun = new StreamProgress();
-            StreamDefect defect = first == null ? begun.breaks(StreamDefect.NO_EVENT) : begun.event(first.content().says());
+            ReplicaStream stream = new ReplicaStream(attempt.request.client, new EventStream(reader), this::report, report, () -> resume(attempt, head));
+            StreamDefect defect = stream.readFirst();
             if (defect != null) { // nothing was passed on: another attempt may do better
-                noteBreak(attempt, new IncompleteStreamException(defect), true, null);
+                noteBreak(attempt, new AttemptFailure(new IncompleteStreamException(defect)), true, null);
                 close();
-                box.module.over(attempt, Outcome.ERROR, 0, report);
+                replica.module.over(attempt, Outcome.ERROR, 0, report);
                 return Then.CLOSE;
             }
             if (!attempt.bind()) {
-                box.module.over(attempt, Outcome.CANCELLED, 0, report);
+                replica.module.over(attempt, Outcome.CANCELLED, 0, report);
                 return Then.CLOSE;
             }
-            progress = begun;
-            events.begins();
-            return new Passing(attempt, head, events, progress, report).begin(first);
+            bound = stream;
+            replica.module.began(attempt); // before the event: what comes after it may come from another thread
+            return after(attempt, head, stream.begin());
         } catch (IOException | RuntimeException | Error e) { // no memory for it: its client must hear of that, too
-            broke(attempt, e, written, progress);
+            broke(attempt, new AttemptFailure(e), written);
             return Then.CLOSE;
         }
     }
 
-    /** The first event, or the first part of it, behind any comments that stand before it; null where the last chunk comes first. */
-    private static StreamPiece firstEvent(EventStream events) throws IOException {
-        StreamPiece first = events.next(FIRST_EVENT);
-        ByteArrayOutputStream comments = new ByteArrayOutputStream(0);
-        while (first != null && first.isComment()) {
-            comments.writeBytes(first.bytes());
-            if (comments.size() > MOST_COMMENTS) {
-                throw new BadMessage(502, "too much ahead of the first event");
+    /** What to do with the connection where the stream does not go on. */
+    private Then after(Attempt attempt, HttpHead head, ReplicaStream.Pause pause) {
+        switch (pause) {
+            case CLIENT_HAS_ENOUGH -> {
+                return Then.PAUSE;
+            }
+            case CLIENT_GONE -> {
+                replica.module.left(attempt.request);
+                return Then.CLOSE;
+            }
+            default -> {
+                attempt.keptTokens = (long) bound.keptTokens();
+                replica.module.over(attempt, Outcome.OK, bound.keptTokens(), bound.report());
+                return reusable(head) ? Then.KEEP : Then.CLOSE;
+            }
+        }
+    }
+
+    /** There is room again, or the client has gone and the next event shows it. */
+    private void resume(Attempt attempt, HttpHead head) { resume(attempt, head, System.nanoTime() + RESUME_MOST); }
+
+    private void resume(Attempt attempt, HttpHead head, long by) {
+        try {
+            Threads.start("to " + to, () -> finish(() -> goOn(attempt, head)));
+        } catch (OutOfMemoryError e) {
+            if (System.nanoTime() - by < 0 && replica.later(() -> resume(attempt, head, by))) {
+                return;
             }
-            first = events.next(FIRST_EVENT);
+            SafeLog.error(e, "no thread to go on with a stream");
+            broke(attempt, new AttemptFailure(e), true);
+        }
+    }
+
+    private Then goOn(Attempt attempt, HttpHead head) {
+        try {
+            return after(attempt, head, bound.goOn());
+        } catch (IOException | RuntimeException | Error e) {
+            broke(attempt, new AttemptFailure(e), true);
+            return Then.CLOSE;
         }
-        return first == null ? null : first.behind(comments.toByteArray());
     }
 
     /** What is found at the moment at which an attempt may go on. */
@@ -256,29 +273,29 @@
 
         @Override public boolean calledOff() { return attempt.isOver(); }
 
-        @Override public boolean replicaReady() { return box.ready(); }
+        @Override public boolean replicaReady() { return replica.ready(); }
 
         @Override public boolean answeredEarly() { return idleNs > 0 && (connection.holdsMore() || connection.hasArrived()); }
 
         @Override public boolean clientWaits() { return attempt.request.client.isWaiting(); }
 
-        @Override public long now() { return box.clock.now(); }
+        @Override public long now() { return replica.clock.now(); }
     }
 
     /** It has never run: its replica has not got all of it. */
     private void notSent(Attempt attempt, AttemptGate.Verdict verdict) {
-        box.rules.notSent(verdict);
-        Logger.debug("attempt {} of {} at {} is not sent: {}", attempt.number, attempt.request.prompt.id(), box.id, verdict);
+        replica.rules.notSent(verdict);
+        Logger.debug("attempt {} of {} at {} is not sent: {}", attempt.number, attempt.request.prompt.id(), replica.id, verdict);
         if (verdict == AttemptGate.Verdict.CLIENT_LEFT && !attempt.request.answered()) {
-            box.module.left(attempt.request); // first: else the module would try another replica
+            replica.module.left(attempt.request); // first: else the module would try another replica
         }
-        box.module.over(attempt, Outcome.MOOT, 0, null);
+        replica.module.over(attempt, Outcome.MOOT, 0, null);
     }
 
     /** Tells a router that was held up, or a replica that was slow to take the request, from a client that was not looked at. */
     private void noteHeldUp(Attempt attempt, long tookNs) {
         if (tookNs > HELD_UP) {
-            Logger.warn("request {} was written to {} {} ms after the last look at its client", attempt.request.prompt.id(), box.id,
+            Logger.warn("request {} was written to {} {} ms after the last look at its client", attempt.request.prompt.id(), replica.id,
                     TimeUnit.NANOSECONDS.toMillis(tookNs));
         }
     }
@@ -287,7 +304,7 @@
         if ("1".equals(head.get("Srv-Declined"))) {
             return Outcome.FULL;
         }
-        // What a box finds wrong with the request speaks of the request, not of the box, and it has not run.
+        // What a replica finds wrong with the request speaks of the request, not of the replica, and it has not run.
         return head.status() / 100 == 4 ? Outcome.MOOT : Outcome.ERROR;
     }
 
@@ -304,158 +321,42 @@
     /** Bytes that belong to no answer of ours would be read as the next one's. */
     private boolean reusable(HttpHead head) { return !head.closes() && !connection.holdsMore(); }
 
-    /**
-     * A stream on its way to the client that gets it: each event is passed on as it comes, up to the end. While the
-     * client has enough to read there is no thread here, and the box is not read.
-     */
-    private final class Passing {
-        private final Attempt attempt;
-        private final HttpHead head;
-        private final EventStream events;
-        private final StreamProgress progress;
-        private LoadReport last;
-        private double kept;
-
-        Passing(Attempt attempt, HttpHead head, EventStream events, StreamProgress progress, LoadReport report) {
-            this.attempt = attempt;
-            this.head = head;
-            this.events = events;
-            this.progress = progress;
-            last = report;
-        }
-
-        Then begin(StreamPiece first) throws IOException {
-            box.module.began(attempt); // before the event: what comes after it may come from another thread
-            Client.Room room = passOn(first);
-            return room == Client.Room.MORE ? pass() : stop(room);
-        }
-
-        private Then pass() throws IOException {
-            Client client = attempt.request.client;
-            // A box that vanishes says nothing: without a limit its client would hang for as long as the box is away.
-            for (StreamPiece piece = events.next(client.silenceNs()); piece != null; piece = events.next(client.silenceNs())) {
-                StreamDefect defect = progress.event(piece.content().says());
-                if (defect != null) {
-                    if (defect.isPassedOn()) {
-                        passOn(piece);
-                    }
-                    throw new IncompleteStreamException(defect);
-                }
-                Client.Room room = passOn(piece);
-                if (room != Client.Room.MORE) {
-                    return stop(room);
-                }
-            }
-            CompleteStream complete = progress.lastChunk(events.endedWithinEvent());
-            if (complete == null) {
-                throw new IncompleteStreamException(progress.defect());
-            }
-            attempt.keptTokens = (long) kept;
-            client.ended(complete);
-            box.module.over(attempt, Outcome.OK, kept, last);
-            return reusable(head) ? Then.KEEP : Then.CLOSE;
-        }
-
-        private Client.Room passOn(StreamPiece piece) {
-            EventContent content = piece.content();
-            progress.took(piece.bytes().length);
-            kept = Math.max(kept, content.keptTokens());
-            LoadReport said = report(content.loadReport());
-            last = said != null ? said : last;
-            return attempt.request.client.event(piece, this::resume);
-        }
-
-        private Then stop(Client.Room room) {
-            if (room == Client.Room.FULL) {
-                return Then.PAUSE;
-            }
-            box.module.left(attempt.request);
-            return Then.CLOSE;
-        }
-
-        /** There is room again, or the client has gone and the next event shows it. */
-        private void resume() { resume(System.nanoTime() + RESUME_MOST); }
-
-        private void resume(long by) {
-            try {
-                Threads.start("to " + to, () -> finish(this::goOn));
-            } catch (OutOfMemoryError e) {
-                if (System.nanoTime() - by < 0 && box.later(() -> resume(by))) {
-                    return;
-                }
-                SafeLog.error(e, "no thread to go on with a stream");
-                attempt.request.client.broken();
-                box.module.over(attempt, Outcome.RESET, 0, null);
-                close();
-            }
-        }
-
-        private Then goOn() {
-            try {
-                events.resumes();
-                return pass();
-            } catch (IOException | RuntimeException | Error e) {
-                broke(attempt, e, true, progress);
-                return Then.CLOSE;
-            }
-        }
-    }
-
-    /** @param progress of the stream that its client gets; null where that has not begun */
-    private void broke(Attempt attempt, Throwable e, boolean written, StreamProgress progress) {
+    private void broke(Attempt attempt, AttemptFailure failure, boolean written) {
         if (attempt.isOver()) {
             return; // called off: the closed connection is how this thread hears of it
         }
-        noteBreak(attempt, e, written, progress);
+        noteBreak(attempt, failure, written, bound);
         close(); // before the module hears of it: the next attempt must not begin while this one's connection is open
-        if (!(e instanceof IOException)) {
-            SafeLog.error(e, "an attempt ended by a fault");
+        if (failure.isOwn()) {
+            SafeLog.error(failure.cause(), "an attempt ended by a fault");
         }
-        noteEnd(e);
-        if (progress != null) {
+        noteEnd(failure);
+        if (bound != null) {
             attempt.request.client.broken();
-            if (e instanceof SocketTimeoutException) {
-                box.module.stalled(attempt);
+            if (failure.isSilence()) {
+                replica.module.stalled(attempt);
                 return;
             }
         }
-        box.module.over(attempt, outcome(e, written), 0, null);
-    }
-
-    private static Outcome outcome(Throwable e, boolean written) {
-        if (defect(e) == StreamDefect.ERROR_EVENT) {
-            return Outcome.ERROR;
-        }
-        return written ? Outcome.RESET : Outcome.CONNECT_FAILED;
+        replica.module.over(attempt, failure.outcome(written), 0, null);
     }
 
-    private void noteBreak(Attempt attempt, Throwable e, boolean written, StreamProgress progress) {
-        if (progress == null) {
-            Logger.debug("attempt {} of {} at {} ends before its first event, {}written: {}", attempt.number, attempt.request.prompt.id(), box.id,
-                    written ? "" : "not ", e);
+    /** @param stream what its client gets; null where nothing was passed on */
+    private void noteBreak(Attempt attempt, AttemptFailure failure, boolean written, ReplicaStream stream) {
+        if (stream == null) {
+            Logger.debug("attempt {} of {} at {} ends before its first event, {}written: {}", attempt.number, attempt.request.prompt.id(), attempt.replica,
+                    written ? "" : "not ", failure.cause());
             return;
         }
-        box.rules.incomplete(progress.breaks(defect(e)));
-        Logger.info("the stream of request {} from {} breaks off: {}: {}", attempt.request.prompt.id(), attempt.box, progress, e.getMessage());
-    }
-
-    private static StreamDefect defect(Throwable e) {
-        if (e instanceof IncompleteStreamException incomplete) {
-            return incomplete.defect();
-        }
-        if (e instanceof SocketTimeoutException) {
-            return StreamDefect.SILENT;
-        }
-        if (e instanceof BadMessage) {
-            return StreamDefect.MALFORMED;
-        }
-        return e instanceof IOException ? StreamDefect.CONNECTION_ENDED : StreamDefect.ROUTER_FAILED;
+        replica.rules.incomplete(stream.progress().breaks(failure.defect()));
+        Logger.info("the stream of request {} from {} breaks off: {}: {}", attempt.request.prompt.id(), attempt.replica, stream.progress(),
+                failure.cause().getMessage());
     }
 
     /** The end of a kept connection before its answer began may come of its having been kept. */
-    private void noteEnd(Throwable e) {
-        if (idleNs > 0 && !answered && e instanceof IOException && !(e instanceof BadMessage)) {
-            box.keptTooLong(idleNs);
+    private void noteEnd(AttemptFailure failure) {
+        if (idleNs > 0 && !answered && failure.isConnectionsEnd()) {
+            replica.keptTooLong(idleNs);
         }
     }
 
@@ -474,7 +375,7 @@
             answered = true;
             String body = new String(reader.body(head, System.nanoTime() + PROBE_WAIT), StandardCharsets.UTF_8);
             report = report(body);
-            boolean complete = head.status() != 200 || box.layout.isEmpty() || body.isBlank() || isObject(body);
+            boolean complete = head.status() != 200 || replica.layout.isEmpty() || body.isBlank() || isObject(body);
             outcome = head.status() == 200 ? Outcome.OK : Outcome.ERROR;
             if (!complete) { // it proves nothing, neither readiness nor trouble
                 Logger.info("a probe's answer of {} is not complete", to);
@@ -485,12 +386,12 @@
             outcome = written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED;
         } catch (IOException e) {
             outcome = written ? Outcome.RESET : Outcome.CONNECT_FAILED;
-            noteEnd(e);
+            noteEnd(new AttemptFailure(e));
         } catch (RuntimeException | Error e) { // unsaid, the replica would never be probed again
             SafeLog.error(e, "a probe ended by a fault");
             outcome = written ? Outcome.RESET : Outcome.CONNECT_FAILED;
         }
-        box.module.probed(box.id, outcome, box.clock.now() - askedAt, report);
+        replica.module.probed(replica.id, outcome, replica.clock.now() - askedAt, report);
         return keep;
     }
 
@@ -502,7 +403,7 @@
         }
         try {
             Map<String, Object> fields = Json.object(Json.parse(json));
-            return box.layout.read(name -> Json.number(fields.get(name), Double.NaN));
+            return replica.layout.read(name -> Json.number(fields.get(name), Double.NaN));
         } catch (Json.Malformed e) {
             Logger.debug("a load report that cannot be read: {}", json);
             return null;
--- a/router/src/test/java/streamproxy/routing/ModuleActorTest.java
+++ b/router/src/test/java/streamproxy/routing/ModuleActorTest.java
@@ -123,7 +123,7 @@
         start();
         await(() -> dispatcher.told.values().stream().filter(ready -> !ready).count() == REPLICAS - 1);
         Attempt attempt = attemptFor("a");
-        assertEquals("s-" + (REPLICAS - 1), attempt == null ? null : attempt.box, "to the only one that is ready");
+        assertEquals("s-" + (REPLICAS - 1), attempt == null ? null : attempt.replica, "to the only one that is ready");
     }
 
     @Test void aTimerOfTheModuleThatFailsIsDueAgain() throws Exception {
