--- a/lab/src/main/java/streamproxy/lab/RouterProcess.java
+++ b/lab/src/main/java/streamproxy/lab/RouterProcess.java
@@ -137,13 +137,18 @@
     /** Memory in use of the process, in KB; as a whole, kernel's sockets left out. */
     long residentKb() throws IOException { return residentKb(pid()); }
 
-    public static long residentKb(long pid) throws IOException {
+    public static long residentKb(long pid) throws IOException { return statusKb(pid, "VmRSS:"); }
+
+    /** The most memory that a process has held so far, in kB. */
+    public static long peakKb(long pid) throws IOException { return statusKb(pid, "VmHWM:"); }
+
+    private static long statusKb(long pid, String field) throws IOException {
         for (String line : Files.readAllLines(Path.of("/proc", String.valueOf(pid), "status"))) {
-            if (line.startsWith("VmRSS:")) {
+            if (line.startsWith(field)) {
                 return Long.parseLong(line.replaceAll("\\D", ""));
             }
         }
-        throw new IOException("no VmRSS");
+        throw new IOException("no " + field);
     }
 
     /** CPU time taken so far, in seconds. */
--- a/lab/src/main/java/streamproxy/lab/soak/AttemptAudit.java
+++ b/lab/src/main/java/streamproxy/lab/soak/AttemptAudit.java
@@ -49,6 +49,9 @@
             return;
         }
         String id = SoakReplicas.field(head, "Req-Id");
+        if (SoakFlood.ID.equals(id)) {
+            return; // of a client that is not judged
+        }
         SoakRequest request = byId.get(String.valueOf(id));
         if (request == null || !request.isSent()) {
             breaks.add(new SoakBreak(Rule.FOREIGN_BYTES, "no client sent a whole request of this id: " + head));
--- a/lab/src/main/java/streamproxy/lab/soak/SoakBreak.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakBreak.java
@@ -26,6 +26,8 @@
         PROCESS,
         /** The process did not end though nothing was under way any more. */
         HUNG,
+        /** The process held more memory than its configuration states. */
+        MEMORY,
         /** The process itself counted a rule that was broken. */
         COUNTED
     }
--- a/lab/src/main/java/streamproxy/lab/soak/SoakPlan.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakPlan.java
@@ -15,8 +15,10 @@
  * @param events      what happens before the shutdown, in order
  * @param replaced    whether a second process is started beside the first before that is told to end
  * @param afterTerm   what comes after SIGTERM, in order
+ * @param flood       what one client sends meanwhile as fast as it can
  */
-record SoakPlan(long seed, long deadlineMs, int clients, int crowd, List<Event> events, boolean replaced, List<Event> afterTerm) {
+record SoakPlan(long seed, long deadlineMs, int clients, int crowd, List<Event> events, boolean replaced, List<Event> afterTerm,
+        SoakFlood.Kind flood) {
     /** What is done to the process. */
     enum Kind {
         /** SIGHUP behind a new configuration that can be used. */
@@ -41,6 +43,7 @@
     private static final int CLIENTS = 24;
     private static final List<Integer> CROWDS = List.of(0, 0, 0, 200, 400);
     private static final long[] DEADLINES_MS = {800, 1_500, 2_200, 3_000};
+    private static final int FLOOD_IN = 3; // one in so many lives
     private static final int EVENTS_MOST = 5;
     private static final int PAUSE_MOST_MS = 1_200;
     private static final double DRAINED_SHARE = 0.6;
@@ -53,9 +56,9 @@
         afterTerm = List.copyOf(afterTerm);
     }
 
-    /** The same life with so many clients, and a crowd in proportion. */
+    /** The same life with so many clients, a crowd in proportion, and no flood. */
     SoakPlan withClients(int fewer) {
-        return new SoakPlan(seed, deadlineMs, fewer, crowd * fewer / CLIENTS, events, replaced, afterTerm);
+        return new SoakPlan(seed, deadlineMs, fewer, crowd * fewer / CLIENTS, events, replaced, afterTerm, SoakFlood.Kind.NONE);
     }
 
     static SoakPlan of(long seed) {
@@ -68,7 +71,12 @@
         }
         boolean replaced = random.nextDouble() < REPLACED_SHARE;
         List<Event> after = draw(random, AFTER, random.nextInt(3), PAUSE_MOST_MS / 2);
-        return new SoakPlan(seed, deadline, CLIENTS, crowd, events, replaced, after);
+        return new SoakPlan(seed, deadline, CLIENTS, crowd, events, replaced, after, flood(new SplittableRandom(seed ^ 0xF100DL)));
+    }
+
+    private static SoakFlood.Kind flood(SplittableRandom random) {
+        SoakFlood.Kind[] kinds = SoakFlood.Kind.values();
+        return random.nextInt(FLOOD_IN) == 0 ? kinds[1 + random.nextInt(kinds.length - 1)] : SoakFlood.Kind.NONE;
     }
 
     private static List<Event> draw(SplittableRandom random, List<Kind> kinds, int count, int pauseMost) {
--- a/lab/src/main/java/streamproxy/lab/soak/SoakRun.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakRun.java
@@ -119,7 +119,7 @@
 
     Outcome play() throws Exception {
         config = folder.resolve("config.json");
-        try (SoakFront front = new SoakFront(listen); SoakCrowd crowd = new SoakCrowd(listen)) {
+        try (SoakFront front = new SoakFront(listen); SoakCrowd crowd = new SoakCrowd(listen); SoakFlood flood = new SoakFlood(listen, plan.flood())) {
             writeConfiguration(plan.deadlineMs());
             router = process("n0");
             begin();
@@ -129,11 +129,13 @@
                 front.start();
                 List<Thread> threads = startClients(front);
                 crowd.connect(plan.crowd());
+                flood.start();
                 Thread fails = startFaults();
                 TimeUnit.MILLISECONDS.sleep(WARM_UP_MS);
                 for (SoakPlan.Event event : plan.events()) {
                     play(event);
                 }
+                judgeMemory();
                 DaemonProcess successor = plan.replaced() ? replace() : null;
                 terminate();
                 awaitEnd(successor);
@@ -150,6 +152,17 @@
                 count(SoakRequest.End.FAILED), audit.crossed(), TimeUnit.NANOSECONDS.toMillis(exitedAt - terminatedAt), List.copyOf(breaks));
     }
 
+    /** Whoever runs it ends a process that takes more than its configuration states. */
+    private void judgeMemory() throws IOException {
+        if (!router.isAlive()) {
+            return; // judged otherwise
+        }
+        long peakKb = RouterProcess.peakKb(router.process().pid());
+        if (peakKb > MEMORY_MB * 1024L) {
+            add(Rule.MEMORY, "it has held up to " + peakKb + " kB");
+        }
+    }
+
     /** Starts the process as its birth has it; it is ready later, whatever happened to it. */
     private void begin() throws Exception {
         if (birth.threadsMost() > 0) {
--- a/lab/src/test/java/streamproxy/lab/faults/RouterUnderFaults.java
+++ b/lab/src/test/java/streamproxy/lab/faults/RouterUnderFaults.java
@@ -102,10 +102,7 @@
     StandIns standIns() { return standIns; }
 
     /** The most memory that the process has held so far, in kB. */
-    long peakMemoryKb() throws IOException {
-        return Files.readAllLines(Path.of("/proc/" + process.process().pid() + "/status")).stream().filter(line -> line.startsWith("VmHWM:"))
-                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", ""))).findFirst().orElseThrow();
-    }
+    long peakMemoryKb() throws IOException { return RouterProcess.peakKb(process.process().pid()); }
 
     /** Threads of the process now. */
     int threads() {
