Ask for a reason to finish only where a stream has text

The rest of a stream that broke behind its last token has no text and no event to carry a reason to finish; it would have been broken off again and again. By reading; found before any client could meet it. An event of usage alone is no text; whatever has text still needs its reason, usage and [DONE]. StreamProgressTest's oracle says the same, and has the case by name.

--- a/decision/src/main/java/streamproxy/streams/StreamDefect.java
+++ b/decision/src/main/java/streamproxy/streams/StreamDefect.java
@@ -4,7 +4,7 @@
 public enum StreamDefect {
     /** Its last chunk came before any event. */
     NO_EVENT,
-    /** It ended without a reason to finish. */
+    /** Its text ended without a reason to finish. */
     NO_FINISH,
     /** It ended without its usage. */
     NO_USAGE,
--- a/decision/src/main/java/streamproxy/streams/StreamProgress.java
+++ b/decision/src/main/java/streamproxy/streams/StreamProgress.java
@@ -3,15 +3,16 @@
 import java.util.Set;
 
 /**
- * How far the stream of one answer has come, and the only judge of whether it is complete: it has a reason to finish, its
- * usage and {@code [DONE]}, nothing but comments behind that, and then the last chunk. An end that nothing speaks against is
- * not enough. Not thread-safe.
+ * How far the stream of one answer has come, and the only judge of whether it is complete: it has a reason to finish any text,
+ * its usage and {@code [DONE]}, nothing but comments behind that, and then the last chunk. An end that nothing speaks against
+ * is not enough. Not thread-safe.
  */
 public final class StreamProgress {
     /** Phases of a stream; the last two are final. */
     public enum Phase { OPENING, TEXT, FINISHED, REPORTED, DONE, COMPLETE, BROKEN }
 
     private boolean begun;
+    private boolean text;
     private boolean finished;
     private boolean reported;
     private boolean done;
@@ -31,7 +32,7 @@
         if (done) {
             return Phase.DONE;
         }
-        if (finished) {
+        if (finished || reported && !text) {
             return reported ? Phase.REPORTED : Phase.FINISHED;
         }
         return begun ? Phase.TEXT : Phase.OPENING;
@@ -65,6 +66,7 @@
             return breaks(StreamDefect.CUT_EVENT);
         }
         begun = true;
+        text |= says.contains(StreamEventKind.TEXT);
         finished |= says.contains(StreamEventKind.FINISH);
         reported |= says.contains(StreamEventKind.USAGE);
         if (says.contains(StreamEventKind.DONE)) {
@@ -96,7 +98,7 @@
         if (!begun) {
             return breaks(StreamDefect.NO_EVENT);
         }
-        if (!finished) {
+        if (text && !finished) {
             return breaks(StreamDefect.NO_FINISH);
         }
         if (!reported) {
--- a/router/src/main/java/streamproxy/protocol/EventContent.java
+++ b/router/src/main/java/streamproxy/protocol/EventContent.java
@@ -79,7 +79,7 @@
             return new EventContent(EnumSet.of(StreamEventKind.UNCLOSED), NOT_TOLD, report);
         }
         Map<String, Object> fields = saysMore(data) ? fields(data) : Map.of();
-        EnumSet<StreamEventKind> says = EnumSet.of(StreamEventKind.TEXT);
+        EnumSet<StreamEventKind> says = EnumSet.noneOf(StreamEventKind.class);
         if (fields.get(ERROR) != null || ERROR.equals(fields.get("object"))) {
             says.add(StreamEventKind.ERROR);
         }
@@ -90,6 +90,9 @@
         if (!usage.isEmpty()) {
             says.add(StreamEventKind.USAGE);
         }
+        if (says.isEmpty() || !Json.list(fields.get("choices")).isEmpty()) {
+            says.add(StreamEventKind.TEXT);
+        }
         Map<String, Object> details = Json.object(usage.get("prompt_tokens_details"));
         return new EventContent(says, Json.number(details.get("cached_tokens"), NOT_TOLD), report);
     }
