Write no attempt to an address that its replica has left

The gate before an attempt's first byte asks for the address now, too; such an attempt has never run, and its connection is not used again. ReplicaIntegrationTest.anAttemptIsNotWrittenWhere... failed before: written. That a new process at the same address of the same replica is told from the old one stays open: no answer names its replica.

--- a/router/src/main/java/streamproxy/routing/ReplicaConnection.java
+++ b/router/src/main/java/streamproxy/routing/ReplicaConnection.java
@@ -273,7 +273,7 @@
 
         @Override public boolean calledOff() { return attempt.isOver(); }
 
-        @Override public boolean replicaReady() { return replica.ready(); }
+        @Override public boolean replicaReady() { return replica.ready() && to.equals(replica.endpoint()); }
 
         @Override public boolean answeredEarly() { return idleNs > 0 && (connection.holdsMore() || connection.hasArrived()); }
 
--- a/router/src/test/java/streamproxy/routing/ReplicaIntegrationTest.java
+++ b/router/src/test/java/streamproxy/routing/ReplicaIntegrationTest.java
@@ -222,6 +222,25 @@
         }
     }
 
+    /** Its replica has moved while the connection was being made: whoever answers at the old address is another one. */
+    @Test public void anAttemptIsNotWrittenWhereItsReplicaWasBefore() throws Exception {
+        try (ServerSocket before = server(5); ServerSocket now = server(5)) {
+            Replicas.Desk desk = desk(0, 0);
+            Replica box = box(desk, now, new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk)));
+            Attempt attempt = attempt("moved");
+            Connection connection = Connection.open(new Budget(1));
+            new ReplicaConnection(box, connection, (InetSocketAddress) before.getLocalSocketAddress()).run(new ReplicaConnection.Errand(attempt, 0));
+            try (Socket socket = before.accept()) {
+                await("it is over", attempt::isOver);
+                assertEquals("it was not written", 0, attempt.writtenAt);
+                connection.close();
+                socket.setSoTimeout(10_000);
+                assertEquals("nothing came", -1, socket.getInputStream().read());
+            }
+            box.retire();
+        }
+    }
+
     /** The attempt waits for the one connection that there may be; what happens meanwhile keeps it from being written. */
     private void assertPassedOver(Attempt waiting, Condition meanwhile) throws Exception {
         try (ServerSocket server = server(5)) {
