--- a/lab/src/test/java/streamproxy/lab/faults/IncompleteStreamIntegrationTest.java
+++ b/lab/src/test/java/streamproxy/lab/faults/IncompleteStreamIntegrationTest.java
@@ -120,6 +120,8 @@
     /** An end that is passed on a second late is a lost request, by the protocol page. */
     private static final long AT_ONCE_MS = 1_000;
     private static final long DEADLINE_MS = 3_000;
+    private static final int READS_FAIL_IN = 9;
+    private static final int FAULTY_REQUESTS = 30;
     private static final int SLOW_PIECES = 60;
     private static final int SLOW_PIECE_BYTES = 1_024;
     private static final int SLOW_EVERY_MS = 50;
@@ -198,6 +200,47 @@
         }
     }
 
+    /** Whatever a read fails with, or however few bytes it brings: what is ended is complete. */
+    @Test void noReadThatFailsIsTakenForAStreamsEnd() throws Exception {
+        router.replicasPlay((message, socket) -> {
+            socket.getOutputStream().write(HEAD.getBytes(StandardCharsets.US_ASCII));
+            for (String event : ReplicaStream.complete()) {
+                socket.getOutputStream().write(chunk(event).getBytes(StandardCharsets.US_ASCII));
+            }
+            socket.getOutputStream().write(LAST_CHUNK.getBytes(StandardCharsets.US_ASCII));
+            return true;
+        });
+        for (Fault fault : List.of(Fault.failing(Errno.EINTR, 2), Fault.failing(Errno.ETIMEDOUT, READS_FAIL_IN), Fault.failing(Errno.EHOSTUNREACH, READS_FAIL_IN),
+                Fault.failing(Errno.ECONNRESET, READS_FAIL_IN), Fault.slow(1, 0))) {
+            router.faults.begin(SystemCall.READ, fault);
+            int ended = 0;
+            for (int i = 0; i < FAULTY_REQUESTS; i++) {
+                ended += endsComplete() ? 1 : 0;
+            }
+            router.faults.end(SystemCall.READ);
+            assertTrue(ended > 0, "some are served although reads meet " + fault);
+        }
+    }
+
+    /** Whether one more request is served to its end; what is ended must be complete. */
+    private static boolean endsComplete() throws IOException {
+        Answer got = askOrBreak();
+        if (got == null || got.status != 200 || !got.ended) {
+            return false;
+        }
+        assertEquals(String.join("", ReplicaStream.complete()), got.events());
+        return true;
+    }
+
+    /** Null where the request met the fault itself. */
+    private static Answer askOrBreak() throws IOException {
+        try {
+            return ask("0.300");
+        } catch (IOException | StringIndexOutOfBoundsException e) {
+            return null; // its connection ended before an answer
+        }
+    }
+
     @Test void aLongEventThatIsStillBeingWrittenIsNotCutOff() throws Exception {
         router.replicasPlay((message, socket) -> writeSlowly(socket, chunk(TEXT)));
         assertSlowEventCame(ask("3.000"), TEXT);
