Give up a first event of noise after half a second, as before

Since long events are waited for, noise that came byte by byte in the place of the first event held its request until the client's time was over: 503 where another replica was free. Until an answer has begun, what does not begin as data does has half a second in all.

--- a/router/src/main/java/streamproxy/protocol/EventStream.java
+++ b/router/src/main/java/streamproxy/protocol/EventStream.java
@@ -92,7 +92,7 @@
     private boolean fill(long silenceNs) throws IOException {
         long waitNs = silenceNs;
         if (event.size() > 0) {
-            waitNs = Math.min(waitNs, beganAt + EventAllowance.ns(event.size()) - System.nanoTime());
+            waitNs = Math.min(waitNs, beganAt + allowanceNs() - System.nanoTime());
             if (waitNs <= 0) {
                 throw new SocketTimeoutException("an event takes too long");
             }
@@ -107,6 +107,9 @@
         return n >= 0;
     }
 
+    /** How long the event that is coming may take; what is no data need not be waited for while another attempt is free. */
+    private long allowanceNs() { return begun || isData() ? EventAllowance.ns(event.size()) : FIRST_PART_AFTER_NS; }
+
     private boolean isDueInParts() {
         if (event.size() == handedOut) {
             return false;
--- a/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
@@ -384,6 +384,28 @@
         }
     }
 
+    /** Noise that comes byte by byte in the place of the first event leaves its request to another attempt in time. */
+    @Test public void aFirstEventOfNoiseWithoutEndIsGivenUpForAnother() throws Exception {
+        ScriptedPeer noisy = box(e -> {
+            e.streamHead();
+            e.socket().setSoTimeout(50);
+            while (true) { // until the router ends the connection
+                try {
+                    e.awaitClose();
+                    return;
+                } catch (java.net.SocketTimeoutException paced) {
+                    e.chunk("x");
+                }
+            }
+        });
+        routerOver(noisy, box(SERVES));
+        for (int i = 0; i < 6; i++) {
+            String answer = caller().send(Caller.prompt("a" + i, "{}").replace("7f3a9c21e0b4d655", "000000000000000" + i)).readTo("\r\n\r\n");
+            assertTrue(answer, answer.startsWith("HTTP/1.1 200 "));
+        }
+        assertFalse("the noisy one was tried", noisy.attempts.isEmpty());
+    }
+
     @Test public void aStreamSpoiltLaterEndsWithoutTheLastChunk() throws Exception {
         for (String noise : List.of("zz\r\n", "C0000000\r\nxxxx", "x".repeat(300), "5\r\nxxxxxxxxx")) {
             routerOver(box(e -> {
