--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -1,7 +1,35 @@
 package streamproxy.decision;
 
-import java.util.*;
-import streamproxy.decision.Routing.*;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import streamproxy.decision.Routing.Actions;
+import streamproxy.decision.Routing.Arrival;
+import streamproxy.decision.Routing.Choice;
+import streamproxy.decision.Routing.Dropped;
+import streamproxy.decision.Routing.Effect;
+import streamproxy.decision.Routing.Ended;
+import streamproxy.decision.Routing.Endpoint;
+import streamproxy.decision.Routing.Event;
+import streamproxy.decision.Routing.FirstByte;
+import streamproxy.decision.Routing.Group;
+import streamproxy.decision.Routing.Health;
+import streamproxy.decision.Routing.ListChange;
+import streamproxy.decision.Routing.ListForm;
+import streamproxy.decision.Routing.LoadReport;
+import streamproxy.decision.Routing.Outcome;
+import streamproxy.decision.Routing.Owned;
+import streamproxy.decision.Routing.Probed;
+import streamproxy.decision.Routing.Reports;
+import streamproxy.decision.Routing.RequestClass;
+import streamproxy.decision.Routing.Settings;
+import streamproxy.decision.Routing.TimerDue;
 import streamproxy.streams.RetryBudget;
 
 /**
--- a/decision/src/test/java/streamproxy/dispatch/GatesTest.java
+++ b/decision/src/test/java/streamproxy/dispatch/GatesTest.java
@@ -82,7 +82,8 @@
         assertEquals(List.of("answered_twice a", "answered_late b", "closed_unanswered c"), told);
         monitor.notSent(Verdict.CLIENT_LEFT);
         monitor.notSent(Verdict.CLIENT_LEFT);
-        assertEquals("rules broken: answered_twice 1, closed_unanswered 1, answered_late 1; attempts not sent: client_left 2; streams incomplete: none", monitor.toString());
+        assertEquals("rules broken: answered_twice 1, closed_unanswered 1, answered_late 1; attempts not sent: client_left 2; streams incomplete: none",
+                monitor.toString());
         assertEquals(1, monitor.brokenSoFar(Rule.ANSWERED_TWICE));
     }
 
--- a/decision/src/test/java/streamproxy/streams/StreamProgressTest.java
+++ b/decision/src/test/java/streamproxy/streams/StreamProgressTest.java
@@ -92,7 +92,8 @@
         List<Set<StreamEventKind>> told = events.stream().filter(event -> !event.isEmpty()).toList();
         boolean endsWithDone = !told.isEmpty() && told.get(told.size() - 1).contains(DONE);
         return endsWithDone && told.stream().filter(event -> event.contains(DONE)).count() == 1
-                && (told.stream().noneMatch(event -> event.contains(TEXT)) || told.stream().anyMatch(event -> event.contains(FINISH))) && told.stream().anyMatch(event -> event.contains(USAGE))
+                && (told.stream().noneMatch(event -> event.contains(TEXT)) || told.stream().anyMatch(event -> event.contains(FINISH)))
+                && told.stream().anyMatch(event -> event.contains(USAGE))
                 && told.stream().noneMatch(event -> event.contains(ERROR) || event.contains(UNCLOSED));
     }
 }
--- a/fleet/src/main/java/streamproxy/fleet/FleetNode.java
+++ b/fleet/src/main/java/streamproxy/fleet/FleetNode.java
@@ -383,9 +383,12 @@
         String live = String.join(",", living.view().live().stream().map(FleetNode::text).toList());
         return "{\"fleet\":" + text(settings.id()) + ",\"name\":" + text(settings.name()) + ",\"member\":" + (member && why.isEmpty())
                 + ",\"refused\":" + text(why) + ",\"leader\":" + text(leader) + ",\"role\":\"" + role + "\",\"term\":" + term
-                + ",\"applied\":" + applied + ",\"behind_ms\":" + TimeUnit.NANOSECONDS.toMillis(duties.behindNs()) + ",\"ledger\":\"" + digest.at() + " " + Integer.toHexString(digest.sum()) + "\",\"epoch\":" + image.epoch() + ",\"unsent\":" + ensemble.unsent() + ",\"unanswered\":" + ensemble.unanswered() + ",\"live_epoch\":" + living.view().epoch()
+                + ",\"applied\":" + applied + ",\"behind_ms\":" + TimeUnit.NANOSECONDS.toMillis(duties.behindNs())
+                + ",\"ledger\":\"" + digest.at() + " " + Integer.toHexString(digest.sum()) + "\",\"epoch\":" + image.epoch()
+                + ",\"unsent\":" + ensemble.unsent() + ",\"unanswered\":" + ensemble.unanswered() + ",\"live_epoch\":" + living.view().epoch()
                 + ",\"list\":{\"from\":" + text(shares ? list.from() : settings.name()) + ",\"version\":" + list.version() + ",\"kept\":" + kept.version()
-                + ",\"kept_no_more\":" + text(kept.wrong() == null ? "" : kept.wrong()) + "},\"shares\":{\"boxes\":" + coldShares.given() + ",\"out_per_s\":" + String.format(Locale.ROOT, "%.3f", coldShares.out()) + "},\"unread\":" + this.peers.unread()
+                + ",\"kept_no_more\":" + text(kept.wrong() == null ? "" : kept.wrong()) + "},\"shares\":{\"boxes\":" + coldShares.given()
+                + ",\"out_per_s\":" + String.format(Locale.ROOT, "%.3f", coldShares.out()) + "},\"unread\":" + this.peers.unread()
                 + ",\"live\":[" + live + "],\"divides\":" + living.settled() + ",\"peers\":" + peers + ",\"changing\":" + changing
                 + ",\"members\":" + members + ",\"duties\":" + held + ",\"here\":" + here + "}";
     }
--- a/lab/src/main/java/streamproxy/lab/fleet/Daemons.java
+++ b/lab/src/main/java/streamproxy/lab/fleet/Daemons.java
@@ -52,7 +52,8 @@
             String name = "r" + i;
             links.hosts(i, out.resolve(name + ".hosts"));
             Path ini = Files.writeString(out.resolve(name + ".ini"), String.format(Locale.ROOT,
-                    "[fleet]%nid = lab%nmembers = %s%nfolder = %s%nlease_s = %s%n%s%n", members + (i < count ? "" : ", " + name + " " + address(i)), out.resolve(name), leaseS,
+                    "[fleet]%nid = lab%nmembers = %s%nfolder = %s%nlease_s = %s%n%s%n", members + (i < count ? "" : ", " + name + " " + address(i)),
+                    out.resolve(name), leaseS,
                     extra + (i < count ? "" : "\njoins = yes")));
             InetSocketAddress listen = RouterProcess.free();
             InetSocketAddress operator = RouterProcess.free();
--- a/lab/src/main/java/streamproxy/lab/soak/FleetSoak.java
+++ b/lab/src/main/java/streamproxy/lab/soak/FleetSoak.java
@@ -61,7 +61,8 @@
 
     Outcome play() throws Exception {
         ExecutorService players = Executors.newFixedThreadPool(routers);
-        try (SoakReplicas replicas = SoakReplicas.behindLinks(seed, Math.max(REPLICAS_LEAST, routers / ROUTERS_FOR_REPLICA)); LabClock lab = new LabClock(replicas.canaryWay())) {
+        try (SoakReplicas replicas = SoakReplicas.behindLinks(seed, Math.max(REPLICAS_LEAST, routers / ROUTERS_FOR_REPLICA));
+                LabClock lab = new LabClock(replicas.canaryWay())) {
             List<SoakRun> runs = new ArrayList<>();
             CyclicBarrier together = new CyclicBarrier(routers);
             for (int router = 0; router < routers; router++) {
--- a/lab/src/test/java/streamproxy/lab/fleet/DutyIntegrationTest.java
+++ b/lab/src/test/java/streamproxy/lab/fleet/DutyIntegrationTest.java
@@ -10,15 +10,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
-import org.junit.After;
-import org.junit.Before;
-import org.junit.Rule;
 import org.junit.Test;
-import org.junit.rules.TemporaryFolder;
-import org.junit.rules.Timeout;
 import streamproxy.protocol.Json;
 
 /** Three routers as processes, and what happens to one duty as they are killed, stalled and told to leave. */
--- a/records/src/main/java/streamproxy/records/EventFormatter.java
+++ b/records/src/main/java/streamproxy/records/EventFormatter.java
@@ -45,7 +45,8 @@
         } else if (event instanceof Event.BoxChanged e) {
             List<EventText.Element> said = new Params().text(Names.BOX_ID, e.box()).text(Names.BOX_STATE, e.state())
                     .text(Names.BOX_ENDPOINT, e.endpoint()).text(Names.BOX_WHY, e.why()).in("box");
-            return told(event, e.state().equals("left_out") || e.state().equals("stalls") ? EventText.WARNING : EventText.NOTICE, said, "box " + e.box() + " is " + e.state());
+            boolean warns = e.state().equals("left_out") || e.state().equals("stalls");
+            return told(event, warns ? EventText.WARNING : EventText.NOTICE, said, "box " + e.box() + " is " + e.state());
         } else if (event instanceof Event.ListChanged e) {
             List<EventText.Element> said = new Params().text(Names.LIST_FORM, e.form()).count(Names.LIST_NAMED, e.named())
                     .count(Names.LIST_KNOWN, e.known()).in("list");
--- a/records/src/test/java/streamproxy/records/NamesTest.java
+++ b/records/src/test/java/streamproxy/records/NamesTest.java
@@ -26,7 +26,8 @@
                 new Event.BoxChanged(1000, "s-1", "127.0.0.1:80", "left_out", "failed"),
                 new Event.ListChanged(1000, "full", 3, 3), new Event.Reloaded(1000, "line 3"), new Event.PhaseEntered(1000, "serving", "starting"),
                 new Event.Standstill(1000, "module", true, 1_100_000_000, "a.b(C.java:1)"),
-                new Event.RuleBroken(1000, "deadline_told", "a1"), new Event.DutyChanged(1000, "report", "holding", "asking", 7), new Event.QueueState(1000, "main", 5, dropped, 2, 1));
+                new Event.RuleBroken(1000, "deadline_told", "a1"), new Event.DutyChanged(1000, "report", "holding", "asking", 7),
+                new Event.QueueState(1000, "main", 5, dropped, 2, 1));
     }
 
     /** Whoever looks for a name must find it in the page, and nothing there that no record has. */
--- a/router/src/main/java/streamproxy/benchlink/BenchLink.java
+++ b/router/src/main/java/streamproxy/benchlink/BenchLink.java
@@ -1,6 +1,5 @@
 package streamproxy.benchlink;
 
-import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -8,7 +7,6 @@
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
--- a/router/src/main/java/streamproxy/transport/ThreadReserve.java
+++ b/router/src/main/java/streamproxy/transport/ThreadReserve.java
@@ -1,6 +1,5 @@
 package streamproxy.transport;
 
-import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Threads that are started with the process and wait to do work that must not wait itself, such as calls of service discovery
--- a/router/src/test/java/streamproxy/protocol/EventContentTest.java
+++ b/router/src/test/java/streamproxy/protocol/EventContentTest.java
@@ -21,7 +21,8 @@
         assertSays("data: {\"choices\":[{\"delta\":{\"content\":\"a\"},\"finish_reason\":\"stop\"}]}\n\n", StreamEventKind.TEXT, StreamEventKind.FINISH);
         assertSays("data:{ \"choices\" : [ {\"finish_reason\" : null}, {\"finish_reason\" : \"length\"} ] }\r\n\r\n", StreamEventKind.TEXT, StreamEventKind.FINISH);
         assertSays("data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9}}\n\n", StreamEventKind.USAGE);
-        assertSays("data: {\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":9}}\n\n", StreamEventKind.TEXT, StreamEventKind.FINISH, StreamEventKind.USAGE);
+        assertSays("data: {\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":9}}\n\n", StreamEventKind.TEXT,
+                StreamEventKind.FINISH, StreamEventKind.USAGE);
         assertSays("data: {\"choices\":[],\"usage\":null}\n\n", StreamEventKind.TEXT);
         assertSays("data: [DONE]\n\n", StreamEventKind.DONE);
         assertSays("data:[DONE]\r\n\r\n", StreamEventKind.DONE);
--- a/router/src/test/java/streamproxy/routing/ClientConnectionTest.java
+++ b/router/src/test/java/streamproxy/routing/ClientConnectionTest.java
@@ -29,7 +29,8 @@
         QuietConnections quiet = new QuietConnections();
         quiet.start();
         ClientConnections all = new ClientConnections(new ClientConnections.Desk(null, new Clock(), new AtomicReference<>(), List.of(),
-                new Budget(1), new RecentRequestIds(), quiet, new Timers(), () -> true, () -> DrainState.SERVING, new RetryAfterSchedule(1), 0, Records.NONE, new Budget(1), RuleMonitor.silent()),
+                new Budget(1), new RecentRequestIds(), quiet, new Timers(), () -> true, () -> DrainState.SERVING, new RetryAfterSchedule(1), 0, Records.NONE,
+                new Budget(1), RuleMonitor.silent()),
                 ConnectionLimits.of(1024, 192, 48L << 20, new ConnectionLimits.Wishes(1, 0, 0, 0, 0, 0, 3, 2)));
         try (ServerSocket peers = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
             all.comes(connection(peers));
--- a/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
@@ -12,10 +12,8 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.junit.After;
 import org.junit.Test;
 import streamproxy.program.Lifecycle.Phase;
-import streamproxy.program.Router;
 
 /** What the router does on sockets, told against scripted peers; one story for each way in which it could fail. */
 public class RouterIntegrationTest extends RouterTestBase {
