Give tests that drip bytes or hold little one set-up each

Two tests wrote byte by byte with the same loop, and three made the same socket with little room: ScriptedPeer.drip and serverThatHoldsLittle. What they assert is as it was; all of ReplicaIntegrationTest and the two drips pass.

--- a/router/src/test/java/streamproxy/routing/ReplicaIntegrationTest.java
+++ b/router/src/test/java/streamproxy/routing/ReplicaIntegrationTest.java
@@ -80,6 +80,15 @@
         return server;
     }
 
+    /** One whose sockets take little that is not read. */
+    private static ServerSocket serverThatHoldsLittle() throws IOException {
+        ServerSocket server = new ServerSocket();
+        server.setReceiveBufferSize(4 * 1024);
+        server.setSoTimeout(10_000);
+        server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+        return server;
+    }
+
     /** Reads a request, and turns it down; the connection stays. */
     private static String turnDown(Socket socket) throws IOException {
         String request = request(socket);
@@ -296,10 +305,7 @@
     /** A close would go on sending what lies in the socket: the replica would begin what was called off. */
     @Test public void whatAReplicaHasNotReadYetOfAnAttemptThatIsCalledOffNeverReachesIt() throws Exception {
         int size = 64 * 1024;
-        try (ServerSocket server = new ServerSocket()) {
-            server.setReceiveBufferSize(4 * 1024);
-            server.setSoTimeout(10_000);
-            server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+        try (ServerSocket server = serverThatHoldsLittle()) {
             Replicas.Desk desk = desk(0, 0);
             Replica box = box(desk, server, new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk)));
             Attempt attempt = attempt("a", () -> true, 4 * SECOND, size);
@@ -324,10 +330,7 @@
 
     /** Its replica reads late, so that the last byte would be written after that has come about. */
     private void assertLastByteIsNotWritten(Attempt attempt, Condition comesAbout) throws Exception {
-        try (ServerSocket server = new ServerSocket()) {
-            server.setReceiveBufferSize(4 * 1024);
-            server.setSoTimeout(10_000);
-            server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+        try (ServerSocket server = serverThatHoldsLittle()) {
             Replicas.Desk desk = desk(0, 0);
             Replica box = box(desk, server, new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk)));
             assertTrue(box.send(attempt));
@@ -379,10 +382,7 @@
 
     /** A second answer to the request before comes late on a kept connection: it is not taken for the answer to the next. */
     @Test public void aLateSecondAnswerIsNotTakenForTheNextRequests() throws Exception {
-        try (ServerSocket server = new ServerSocket()) {
-            server.setReceiveBufferSize(4 * 1024);
-            server.setSoTimeout(10_000);
-            server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+        try (ServerSocket server = serverThatHoldsLittle()) {
             Replicas.Desk desk = desk(0, 0);
             Replica box = box(desk, server, new ModuleActor(ActorFixtures.SETTINGS, 1, clock, new Replicas(desk)));
             assertTrue(box.send(attempt("first")));
--- a/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/RouterIntegrationTest.java
@@ -386,15 +386,7 @@
     @Test public void aFirstEventOfNoiseWithoutEndIsGivenUpForAnother() throws Exception {
         ScriptedPeer noisy = box(e -> {
             e.streamHead();
-            e.socket().setSoTimeout(50);
-            while (true) { // until the router ends the connection
-                try {
-                    e.awaitClose();
-                    return;
-                } catch (java.net.SocketTimeoutException paced) {
-                    e.chunk("x");
-                }
-            }
+            e.drip("x", 50);
         });
         routerOver(noisy, box(SERVES));
         for (int i = 0; i < 6; i++) {
--- a/router/src/test/java/streamproxy/stories/ScriptedPeer.java
+++ b/router/src/test/java/streamproxy/stories/ScriptedPeer.java
@@ -57,6 +57,19 @@
             write("HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + body.length() + "\r\n\r\n" + body);
         }
 
+        /** Writes that chunk again and again, a pause apart, until the router ends this connection. */
+        void drip(String text, int everyMs) throws IOException {
+            socket.setSoTimeout(everyMs);
+            while (true) {
+                try {
+                    awaitClose();
+                    return;
+                } catch (java.net.SocketTimeoutException paced) {
+                    chunk(text);
+                }
+            }
+        }
+
         /** Waits until the router ends this connection. */
         void awaitClose() throws IOException {
             try {
--- a/router/src/test/java/streamproxy/stories/StreamIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/StreamIntegrationTest.java
@@ -279,15 +279,7 @@
                 e.chunk("data: " + i + "\n\n");
             }
             e.chunk("data: ");
-            e.socket().setSoTimeout(20);
-            while (true) { // until the router ends the connection
-                try {
-                    e.awaitClose();
-                    return;
-                } catch (java.net.SocketTimeoutException paced) {
-                    e.chunk("x");
-                }
-            }
+            e.drip("x", 20);
         });
         try (Caller caller = new Caller(router.address())) {
             String answer = caller.send(Caller.prompt("a1", "{}")).readAll();
