--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -44,6 +44,14 @@
             config = folder.resolve(name + ".json");
         }
 
+        /** A second process beside it: the same addresses and configuration, another second address. */
+        private Router(Router first) throws IOException {
+            name = first.name;
+            listen = first.listen;
+            operator = freeAddress();
+            config = first.config;
+        }
+
         String listen() { return listen; }
 
         String operator() { return operator; }
@@ -84,6 +92,18 @@
             throw new CannotRun("router " + name + " was not ready within 30 s");
         }
 
+        /** Waits until it says at its second address that it can serve. */
+        void awaitHealth() throws Exception {
+            for (int i = 0; i < 100; i++) {
+                if (status(operator, "GET", "/admin/health") == 200) {
+                    record.line("the second process of router %s can serve", name);
+                    return;
+                }
+                Thread.sleep(100);
+            }
+            throw new CannotRun("the second process of router " + name + " was not healthy within 10 s");
+        }
+
         void signal(String signal) throws Exception {
             record.line("SIG%s to router %s", signal, name);
             new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
@@ -149,6 +169,9 @@
         return other;
     }
 
+    /** A second process beside a router, as for an upgrade. */
+    Router beside(Router first) throws IOException { return new Router(first); }
+
     List<Engine> engines(int count) throws IOException {
         List<Engine> engines = new ArrayList<>();
         for (int i = 0; i < count; i++) {
