Review: ports of the cases' own range, and a fleet that is whole first

What: routers listen on free ports that the system does not draw for connections; case 4 waits until all three are members, and cannot run (2) where a hand-over is refused. No check and no bound is changed.

--- a/review/src/HandOver.java
+++ b/review/src/HandOver.java
@@ -101,6 +101,7 @@
         for (Rig.Router router : routers) {
             router.awaitReady();
         }
+        awaitMembers(routers);
         List<String> working = new ArrayList<>();
         AtomicInteger overlaps = new AtomicInteger();
         List<Job> jobs = routers.stream().map(router -> new Job(router, rig.record, working, overlaps)).toList();
@@ -109,8 +110,11 @@
             Thread.sleep(500);
             if (trouble) {
                 Rig.Router next = routers.get((routers.indexOf(holder.router) + 1) % MEMBERS);
-                rig.record.line("an operator has the duty handed on from %s to %s: %s", holder.router.name, next.name,
-                        call(holder.router.operator(), "POST", "/admin/fleet/hand-on/report/" + next.name));
+                String answer = call(holder.router.operator(), "POST", "/admin/fleet/hand-on/report/" + next.name);
+                rig.record.line("an operator has the duty handed on from %s to %s: %s", holder.router.name, next.name, answer);
+                if (!answer.startsWith("200")) {
+                    throw new Rig.CannotRun("the duty could not be handed on");
+                }
             }
             Thread.sleep(STEP_MS + 1_500);
         }
@@ -124,6 +128,21 @@
         return overlaps.get() == 0;
     }
 
+    /** Waits until each router is a member of the fleet and knows all the others as such. */
+    private static void awaitMembers(List<Rig.Router> routers) throws InterruptedException {
+        for (int i = 0; i < 200; i++) {
+            boolean all = routers.stream().allMatch(router -> {
+                String fleet = call(router.operator(), "GET", "/admin/fleet");
+                return fleet.contains("\"member\":true") && routers.stream().allMatch(other -> fleet.contains("{\"name\":\"" + other.name + "\",\"start\":"));
+            });
+            if (all) {
+                return;
+            }
+            Thread.sleep(100);
+        }
+        throw new Rig.CannotRun("the routers did not become a fleet within 20 s");
+    }
+
     /** Waits until a program has just begun a step. */
     private static Job awaitStep(List<Job> jobs) throws InterruptedException {
         Job within = null;
--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -1,5 +1,6 @@
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -8,8 +9,11 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -112,6 +116,10 @@
         boolean isAlive() { return process.isAlive(); }
     }
 
+    private static final int FIRST_PORT = 20_000;
+    private static final int LAST_PORT = 32_000;
+    private static final Set<Integer> given = new HashSet<>();
+
     final Record record;
     final Path root;
     final Path here;
@@ -189,10 +197,20 @@
         throw new CannotRun("no run command in deploy/balancer.toml");
     }
 
-    static String freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return "127.0.0.1:" + socket.getLocalPort();
+    /** A free loopback address, of ports that the system does not draw for connections: none can take it before it is used. */
+    static synchronized String freeAddress() throws IOException {
+        for (int tries = 0; tries < 1_000; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            if (!given.contains(port)) {
+                try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                    given.add(port);
+                    return "127.0.0.1:" + socket.getLocalPort();
+                } catch (BindException e) {
+                    continue; // another has it
+                }
+            }
         }
+        throw new CannotRun("no free port");
     }
 
     /** The status of a call without a body; 0 where there is no answer. */
