Review: clients give up in time, and repeat only what crossed a close

Why: the clients of the cases waited 10 s beyond their deadline and sent a request again after a time-out. What: a client gives up 0.65 s after its deadline, which is enough to tell that an answer is lost, and sends again only where the connection ended.

--- a/review/src/Client.java
+++ b/review/src/Client.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,8 +19,14 @@
 
     private static final AtomicLong IDS = new AtomicLong(System.nanoTime());
 
+    /** A client waits so much longer than its deadline, to tell an answer that is lost (0.55 s late) from one that earns nothing. */
+    private static final int GIVES_UP_AFTER_MS = 650;
+    /** Between two events of a stream. */
+    private static final int STREAM_MS = 10_000;
+
     private final String router;
     private final Record record;
+    private boolean gaveUp; // on the last request: nothing came in its time
     private Socket socket;
     private InputStream in;
 
@@ -67,7 +74,7 @@
     Answer ask(String id, String kind, double deadline, String request) {
         boolean kept = socket != null;
         Answer answer = tryOnce(id, kind, deadline, request);
-        if (answer.status == 0 && kept) {
+        if (answer.status == 0 && kept && !gaveUp) {
             record.line("client sends %s once more, on a new connection", id);
             answer = tryOnce(id, kind, deadline, request);
         }
@@ -76,6 +83,7 @@
 
     private Answer tryOnce(String id, String kind, double deadline, String request) {
         long from = System.nanoTime();
+        gaveUp = false;
         int status = 0;
         long headAt = 0;
         ByteArrayOutputStream text = new ByteArrayOutputStream();
@@ -85,12 +93,13 @@
                 socket = connect(router);
                 in = new BufferedInputStream(socket.getInputStream());
             }
-            socket.setSoTimeout((int) (deadline * 1000) + 10_000);
+            socket.setSoTimeout((int) (deadline * 1000) + GIVES_UP_AFTER_MS);
             socket.getOutputStream().write(Http.bytes(request));
             record.line("client sent %s (%s, %.3f s)", id, kind, deadline);
             Http.Head head = Http.head(in);
             status = head.status();
             headAt = System.nanoTime();
+            socket.setSoTimeout(STREAM_MS);
             if (head.isChunked()) {
                 for (byte[] chunk = Http.chunk(in); chunk != null; chunk = Http.chunk(in)) {
                     text.writeBytes(chunk);
@@ -102,12 +111,15 @@
             if (head.closes()) {
                 close();
             }
+        } catch (SocketTimeoutException e) {
+            gaveUp = true;
+            close();
         } catch (IOException e) {
             close();
         }
         Answer answer = new Answer(status, text.toString(StandardCharsets.UTF_8), whole, (headAt - from) / 1e9, (System.nanoTime() - from) / 1e9,
                 contents(text.toString(StandardCharsets.UTF_8)));
-        record.line("client got for %s: %s after %.4f s%s", id, status == 0 ? "nothing, and the end of the connection" : status + (whole ? "" : ", cut off"),
+        record.line("client got for %s: %s after %.4f s%s", id, status == 0 ? gaveUp ? "nothing, and it gives up" : "nothing, and the end of the connection" : status + (whole ? "" : ", cut off"),
                 answer.seconds, answer.contents.isEmpty() ? "" : ", text " + answer.contents);
         return answer;
     }
--- a/review/src/ManyTurns.java
+++ b/review/src/ManyTurns.java
@@ -45,7 +45,7 @@
                 Http.daemon(() -> {
                     String id = Client.newId();
                     try (Socket socket = Client.connect(router.listen())) {
-                        socket.setSoTimeout(20_000);
+                        socket.setSoTimeout(15_500);
                         socket.getOutputStream().write(Http.bytes(Client.request(id, "bulk", 15, body)));
                         InputStream in = socket.getInputStream();
                         rig.record.line("one of those at once got for %s: %s", id, Http.line(in));
