--- a/review/stand-ins-2/src/review2/Client.java
+++ b/review/stand-ins-2/src/review2/Client.java
@@ -10,7 +10,7 @@
 /** A usual client: one connection, kept, with one request at a time. */
 public final class Client implements AutoCloseable {
     /** What became of a request. */
-    public record Answer(String id, int status, String body, boolean whole, String why, double sentMs, double endMs) {
+    public record Answer(String id, int status, String body, boolean whole, String why, double sentMs, double endMs, double retryAfter) {
         public boolean served() { return status == 200 && whole; }
     }
 
@@ -18,6 +18,7 @@
     private final int port;
     private final String name;
     public Socket socket;
+    public boolean loud = true;
     private BufferedInputStream in;
 
     public Client(Rig rig, String name, int port) {
@@ -48,7 +49,7 @@
     public Answer ask(String id, String kind, String key, double deadlineS, int promptChars) throws IOException {
         open();
         double sent = rig.ms();
-        rig.note(name + " sends " + id + " (" + kind + ", " + String.format(Locale.ROOT, "%.3f", deadlineS) + " s)");
+        if (loud) rig.note(name + " sends " + id + " (" + kind + ", " + String.format(Locale.ROOT, "%.3f", deadlineS) + " s)");
         socket.getOutputStream().write(request(id, kind, key, deadlineS, promptChars));
         return answer(id, sent, deadlineS);
     }
@@ -59,10 +60,12 @@
         StringBuilder body = new StringBuilder();
         boolean whole = false;
         String why = "";
+        double retryAfter = 0;
         try {
             socket.setSoTimeout((int) (deadlineS * 1_000) + 10_000);
             Rig.Head head = Rig.Head.read(in);
             status = head.status();
+            retryAfter = head.field("Retry-After") == null ? 0 : Double.parseDouble(head.field("Retry-After"));
             if (head.chunked()) {
                 for (byte[] chunk = Rig.chunk(in); chunk != null; chunk = Rig.chunk(in)) {
                     body.append(new String(chunk, StandardCharsets.ISO_8859_1));
@@ -81,8 +84,8 @@
             why = String.valueOf(e.getMessage());
             closeQuietly();
         }
-        Answer answer = new Answer(id, status, body.toString(), whole, why, sent, rig.ms());
-        rig.note(name + " has of " + id + ": " + (status == 0 ? "nothing" : status) + (whole ? ", whole" : ", broken off: " + why) + ", "
+        Answer answer = new Answer(id, status, body.toString(), whole, why, sent, rig.ms(), retryAfter);
+        if (loud) rig.note(name + " has of " + id + ": " + (status == 0 ? "nothing" : status) + (whole ? ", whole" : ", broken off: " + why) + ", "
                 + body.length() + " bytes after " + Math.round(answer.endMs - sent) + " ms" + (status == 200 || !whole ? "" : ": " + body));
         return answer;
     }
--- /dev/null
+++ b/review/stand-ins-2/src/review2/ColdReplicas.java
@@ -0,0 +1,215 @@
+package review2;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Six in ten engines are replaced within 7 s under load, and clients try again: are the cold ones sent more than they bear? */
+public final class ColdReplicas {
+    private static final int ENGINES = 10;
+    private static final int REPLACED = 6;
+    private static final long REPLACED_WITHIN_MS = 7_000;
+    /** What a warm engine can do, requests a second. */
+    private static final double CAPACITY = 15;
+    /** Requests asked for the first time, as a share of what all engines can do once they are warm. */
+    private static final double LOAD = 0.9;
+    private static final int RETRIES = Integer.getInteger("retries", 3);
+    /** The share of the clients that wait as long as Retry-After says. */
+    private static final double HONOUR = 0.2;
+    private static final double START = 0.36;
+    private static final double RAMP_S = 8.9;
+    private static final double TIP = 3;
+    private static final double FALL_S = 1.5;
+    private static final int SECONDS = 30;
+
+    /** How an engine fares: one prompt is read at a time, as fast as it can by then. */
+    static final class Model {
+        final Rig rig;
+        final Engine engine;
+        final ArrayDeque<Object> queue = new ArrayDeque<>();
+        final ConcurrentLinkedDeque<Double> arrivals = new ConcurrentLinkedDeque<>();
+        double worst;
+        String worstSaid = "";
+        boolean fallen;
+        double freeAt;
+
+        Model(Rig rig, Engine engine) {
+            this.rig = rig;
+            this.engine = engine;
+        }
+
+        double can(double now) {
+            return engine.bootMs == 0 ? 1 : Math.min(1, START + (1 - START) * (System.currentTimeMillis() - engine.bootMs) / 1e3 / RAMP_S);
+        }
+
+        synchronized void arrives(double now) {
+            if (engine.bootMs == 0 || can(now) >= 1) {
+                return;
+            }
+            arrivals.add(now);
+            while (arrivals.peekFirst() < now - FALL_S * 1e3) {
+                arrivals.pollFirst();
+            }
+            double n = TIP * can(now) * CAPACITY * FALL_S;
+            double most = n < 30 ? n + 3 * Math.sqrt(n) + 3 : n + 2 * Math.sqrt(n) + 2;
+            double ratio = arrivals.size() / most;
+            if (ratio > worst) {
+                worst = ratio;
+                worstSaid = String.format(Locale.ROOT, "%s: %d requests in %.1f s at %.2f of its capacity, where it bears %.1f (N = %.1f)",
+                        engine.uid, arrivals.size(), FALL_S, can(now), most, n);
+            }
+            if (ratio > 1 && !fallen) {
+                fallen = true;
+                rig.broken(worstSaid);
+            }
+        }
+
+        /** Waits until its prompt is read; false where too many wait. */
+        boolean read(double now) throws InterruptedException {
+            double wait;
+            synchronized (this) {
+                double work = 1e3 / (CAPACITY * can(now));
+                if (freeAt - now > 40 * work) {
+                    return false;
+                }
+                freeAt = Math.max(freeAt, now) + work;
+                wait = freeAt - now;
+            }
+            Rig.sleep((long) Math.max(1, wait));
+            return true;
+        }
+
+        synchronized String load() {
+            double now = rig.ms();
+            double work = 1e3 / (CAPACITY * can(now));
+            double waiting = Math.max(0, (freeAt - now) / work);
+            return String.format(Locale.ROOT, "{\"lat_ms\":%.1f,\"rif\":%d,\"q\":%d,\"x1\":%.3f}", work + 5, engine.inFlight(), (int) Math.max(0, waiting - 1), waiting * 0.4);
+        }
+    }
+
+    private ColdReplicas() { }
+
+    public static void main(String[] args) { Rig.play(args, ColdReplicas::play); }
+
+    private static Model engine(Rig rig, Map<String, Model> models, String uid) throws IOException {
+        Engine engine = rig.owns(new Engine(rig, uid, "mobile-room1", 0));
+        Model model = new Model(rig, engine);
+        models.put(uid, model);
+        engine.loud = false;
+        engine.load = model::load;
+        engine.answers = (self, on, run) -> {
+            double now = rig.ms();
+            model.arrives(now);
+            if (engine.draining || !model.read(now)) {
+                on.out.write(Rig.ascii("HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"));
+                return;
+            }
+            self.stream(on, run.id(), 6, 20);
+        };
+        return model;
+    }
+
+    private static void play(Rig rig) throws Exception {
+        Discovery discovery = rig.owns(new Discovery(rig));
+        Map<String, Model> models = new ConcurrentHashMap<>();
+        List<Model> old = new ArrayList<>();
+        for (int i = 0; i < ENGINES; i++) {
+            Model model = engine(rig, models, "s-" + i);
+            old.add(model);
+            discovery.tell(model.engine, "ready");
+        }
+        Settings settings = new Settings();
+        settings.classes = List.of(new Settings.RequestClass("shift-agent", 5, 2_500, 12_000, "safe", "all", 5_000),
+                new Settings.RequestClass("doc-lookup", 3, 1_500, 6_000, "safe", "all", 5_000));
+        settings.attempts = 4;
+        settings.start = START;
+        settings.rampMs = (int) (RAMP_S * 1e3);
+        settings.tip = TIP;
+        settings.fallMs = (int) (FALL_S * 1e3);
+        Rig.Router[] routers = new Rig.Router[2];
+        for (int i = 0; i < 2; i++) {
+            routers[i] = rig.router("n" + i, discovery.port());
+            routers[i].start(settings.file(routers[i], i, discovery.port(), discovery.list()));
+        }
+        Rig.sleep(1_000);
+        ExecutorService clients = Executors.newCachedThreadPool(run -> {
+            Thread thread = new Thread(null, run, "client", 256 * 1024);
+            thread.setDaemon(true);
+            return thread;
+        });
+        AtomicInteger asked = new AtomicInteger();
+        AtomicInteger tries = new AtomicInteger();
+        AtomicInteger served = new AtomicInteger();
+        ConcurrentLinkedDeque<Client> idle0 = new ConcurrentLinkedDeque<>();
+        ConcurrentLinkedDeque<Client> idle1 = new ConcurrentLinkedDeque<>();
+        Random random = new Random(1);
+        double rate = LOAD * ENGINES * CAPACITY;
+        double zero = rig.ms();
+        double next = zero;
+        int gone = 0;
+        while (rig.ms() < zero + SECONDS * 1e3) {
+            double now = rig.ms() - zero;
+            if (Rig.TROUBLE && gone < REPLACED && now > 6_000 + gone * (double) REPLACED_WITHIN_MS / REPLACED) {
+                Model leaves = old.get(gone);
+                leaves.engine.draining = true;
+                discovery.tell(leaves.engine, "draining");
+                Model comes = engine(rig, models, "t-" + gone);
+                comes.engine.bootMs = System.currentTimeMillis();
+                discovery.tell(comes.engine, "ready");
+                gone++;
+            }
+            if (rig.ms() >= next) {
+                next += -Math.log(1 - random.nextDouble()) * 1e3 / rate;
+                int at = random.nextInt(2);
+                boolean agent = random.nextBoolean();
+                asked.incrementAndGet();
+                clients.execute(() -> ask(rig, routers[at].port, at == 0 ? idle0 : idle1, agent, tries, served));
+            } else {
+                Rig.sleep(1);
+            }
+            if ((int) (now / 1e3) != (int) ((rig.ms() - zero) / 1e3)) {
+                rig.note("asked " + asked + ", tries " + tries + ", served " + served);
+            }
+        }
+        for (Model model : models.values()) {
+            rig.note("most: " + String.format(Locale.ROOT, "%.2f ", model.worst) + model.worstSaid);
+        }
+        System.out.println(String.format(Locale.ROOT, "most, as a share of what is borne: %.2f; asked %d, tries %d, served %d",
+                models.values().stream().mapToDouble(m -> m.worst).max().orElse(0), asked.get(), tries.get(), served.get()));
+    }
+
+    private static void ask(Rig rig, int port, ConcurrentLinkedDeque<Client> idle, boolean agent, AtomicInteger tries, AtomicInteger served) {
+        Client client = idle.poll();
+        if (client == null) {
+            client = new Client(rig, "c", port);
+            client.loud = false;
+        }
+        boolean heeds = ThreadLocalRandom.current().nextDouble() < HONOUR;
+        try {
+            for (int i = 0; i <= RETRIES; i++) {
+                tries.incrementAndGet();
+                Client.Answer answer = client.ask(agent ? "shift-agent" : "doc-lookup", Rig.newId(), agent ? 6 : 3, 1_600);
+                if (answer.served()) {
+                    served.incrementAndGet();
+                    break;
+                }
+                if (heeds && answer.retryAfter() > 0) {
+                    Rig.sleep((long) (answer.retryAfter() * 1e3));
+                }
+            }
+            idle.add(client);
+        } catch (IOException | InterruptedException e) {
+            client.close();
+        }
+    }
+}
--- a/review/stand-ins-2/src/review2/Engine.java
+++ b/review/stand-ins-2/src/review2/Engine.java
@@ -55,6 +55,8 @@
     public volatile long bootMs;
     public volatile Answers answers = (engine, on, run) -> engine.stream(on, run.id(), 5, 4);
     public volatile boolean draining;
+    public volatile boolean loud = true;
+    public volatile java.util.function.Supplier<String> load;
     public final List<Run> runs = new CopyOnWriteArrayList<>();
     private final Rig rig;
     private final ServerSocket server;
@@ -71,6 +73,8 @@
         Discovery.start(uid, this::accept);
     }
 
+    public int inFlight() { return inFlight.get(); }
+
     public int port() { return server.getLocalPort(); }
 
     private void accept() {
@@ -105,7 +109,7 @@
                 }
                 Run run = new Run(head.field("Req-Id"), this, rig.ms(), first, head.field("Req-Deadline"), on);
                 runs.add(run);
-                rig.note(uid + " connection " + on.number + " runs " + run.id() + ", told " + run.told() + " s");
+                if (loud) rig.note(uid + " connection " + on.number + " runs " + run.id() + ", told " + run.told() + " s");
                 inFlight.incrementAndGet();
                 try {
                     answers.answer(this, on, run);
@@ -121,7 +125,7 @@
     }
 
     private void report(Connection on) throws IOException {
-        String load = "{\"lat_ms\":20,\"rif\":" + inFlight.get() + ",\"q\":0,\"x1\":0}";
+        String load = this.load != null ? this.load.get() : "{\"lat_ms\":20,\"rif\":" + inFlight.get() + ",\"q\":0,\"x1\":0}";
         String status = draining ? "503 Service Unavailable" : "200 OK";
         on.out.write(Rig.ascii("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + load.length() + "\r\n\r\n" + load));
     }
--- a/review/stand-ins-2/src/review2/Settings.java
+++ b/review/stand-ins-2/src/review2/Settings.java
@@ -21,6 +21,10 @@
     public int memoryMb = 192;
     public int sockets = 1_024;
     public int connectTimeoutMs = 120;
+    public double start = 0.12;
+    public int rampMs = 24_000;
+    public double tip = 2.5;
+    public int fallMs = 2_000;
 
     private static String ns(long ms) { return String.valueOf(ms * 1_000_000L); }
 
@@ -41,8 +45,8 @@
                 + "\"Domain\":{\"AimUsPer1000PromptTokens\":[" + slopes + "],\"TokenAim\":[" + tokens + "],\"Resume\":" + resume
                 + ",\"ReportX0\":\"share of memory held by running requests\",\"ReportX1\":\"thousands of prompt tokens waiting to be read\"},"
                 + "\"Goal\":{\"Whole\":0.55,\"WorstClass\":0.3,\"WorstTenant\":0.0,\"WorstWindow\":0.15},"
-                + "\"Guarantees\":{\"AskEvery\":10000000000,\"Fall\":2000000000,\"GraceToAnswer\":20000000,\"RampTime\":24000000000,"
-                + "\"StartCapacity\":0.12,\"StopSendingWithin\":500000000,\"TipMultiple\":2.5},"
+                + "\"Guarantees\":{\"AskEvery\":10000000000,\"Fall\":" + ns(fallMs) + ",\"GraceToAnswer\":20000000,\"RampTime\":" + ns(rampMs)
+                + ",\"StartCapacity\":" + start + ",\"StopSendingWithin\":500000000,\"TipMultiple\":" + tip + "},"
                 + "\"Limits\":{\"Cancel\":true,\"ConnectTimeout\":" + ns(connectTimeoutMs) + ",\"CpuUsPerRequest\":10.0,\"CpuUsPerS\":19349,"
                 + "\"Keepalive\":5000000000,\"MaxAttempts\":" + attempts + ",\"MaxOpen\":25798,\"MaxRetryAfter\":2000000000,\"MayTell\":false,\"Multiplex\":1,"
                 + "\"Probes\":true,\"RetryAfter\":true,\"SecondCopies\":" + secondCopies + "},"
