review: members of a fleet that wait for their turn lose requests at SIGKILL

Cause: a daemon that is told to end serves on until it has its turn, for up to 10 s, though it may be killed after 3.7 s.

--- a/review/stand-ins-2/src/review2/Rig.java
+++ b/review/stand-ins-2/src/review2/Rig.java
@@ -124,7 +124,7 @@
 
     // ---- The router ---------------------------------------------------------------------------------
 
-    /** A router as the deploy file's {@code run} starts it. */
+    /** A router's process. */
     public final class Router {
         public final String name;
         public final int port;
@@ -134,10 +134,12 @@
         private final Path folder;
         private final int discovery;
         private Process process;
+        private final String run;
 
-        Router(String name, int discovery) throws IOException {
+        Router(String name, int discovery, String run) throws IOException {
             this.name = name;
             this.discovery = discovery;
+            this.run = run;
             port = freePort();
             operatorPort = freePort();
             folder = Files.createDirectory(temporary.resolve(name));
@@ -150,12 +152,6 @@
         public void start(String configuration) throws IOException, InterruptedException {
             Files.writeString(config, configuration);
             Path tmp = Files.createDirectories(folder.resolve("tmp"));
-            String run = null;
-            for (String line : Files.readAllLines(root.resolve("deploy/balancer.toml"))) {
-                if (line.startsWith("run = ")) {
-                    run = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
-                }
-            }
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(root.toFile())
                     .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
             builder.environment().put("NODE_NAME", name);
@@ -163,7 +159,7 @@
             builder.environment().put("NODE_DISCOVERY", "127.0.0.1:" + discovery);
             builder.environment().put("NODE_CONFIG", config.toString());
             builder.environment().put("TMPDIR", tmp.toString());
-            process = builder.start();
+            process = builder.start(); // started anew where it was ended before
             processes.add(process);
             note("router " + name + " started, pid " + process.pid() + ", port " + port);
             awaitReady();
@@ -204,10 +200,35 @@
             }
         }
 
+        /** What an operator's call answers: its status, a space, and its text. */
+        public String text(String method, String path) throws IOException {
+            try (Socket socket = connect(operatorPort)) {
+                socket.setSoTimeout(3_000);
+                socket.getOutputStream().write(ascii(method + " " + path + " HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"));
+                BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
+                Head head = Head.read(in);
+                return head.status() + " " + new String(in.readNBytes(Integer.parseInt(head.field("Content-Length"))), StandardCharsets.UTF_8);
+            }
+        }
+
         public boolean isAlive() { return process.isAlive(); }
     }
 
-    public Router router(String name, int discovery) throws IOException { return new Router(name, discovery); }
+    /** One that the deploy file's {@code run} starts. */
+    public Router router(String name, int discovery) throws IOException {
+        for (String line : Files.readAllLines(root.resolve("deploy/balancer.toml"))) {
+            if (line.startsWith("run = ")) {
+                return new Router(name, discovery, line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')));
+            }
+        }
+        throw new IOException("deploy/balancer.toml has no run");
+    }
+
+    /** One that is a member of a fleet, with that operator's file. */
+    public Router daemon(String name, int discovery, Path operator) throws IOException {
+        return new Router(name, discovery, "exec java -Djava.net.preferIPv4Stack=true -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx128m"
+                + " -XX:-UsePerfData -jar fleet/target/streamproxy-fleet.jar daemon --operator " + operator);
+    }
 
     public static Socket connect(int port) throws IOException {
         Socket socket = new Socket();
