--- a/review/stand-ins-2/src/review2/Rig.java
+++ b/review/stand-ins-2/src/review2/Rig.java
@@ -147,6 +147,18 @@
             log = folder.resolve("log");
         }
 
+        /** A second process of the same router, beside the first: the same addresses and $TMPDIR, another one for operators. */
+        Router(Router first) throws IOException {
+            name = first.name;
+            discovery = first.discovery;
+            run = first.run;
+            port = first.port;
+            operatorPort = freePort();
+            folder = first.folder;
+            config = folder.resolve("config-" + operatorPort + ".json");
+            log = folder.resolve("log-" + operatorPort);
+        }
+
         public Process process() { return process; }
 
         public void start(String configuration) throws IOException, InterruptedException {
@@ -172,7 +184,7 @@
                     throw new IOException("the router ended: " + Files.readString(log));
                 }
                 try {
-                    if (get("/ready", port) == 200) {
+                    if (get("/admin/health", operatorPort) == 200 && get("/ready", port) == 200) {
                         note("router " + name + " is ready");
                         return;
                     }
@@ -215,15 +227,20 @@
     }
 
     /** One that the deploy file's {@code run} starts. */
-    public Router router(String name, int discovery) throws IOException {
+    public Router router(String name, int discovery) throws IOException { return router(name, discovery, ""); }
+
+    /** The same, with further words on its command line. */
+    public Router router(String name, int discovery, String words) throws IOException {
         for (String line : Files.readAllLines(root.resolve("deploy/balancer.toml"))) {
             if (line.startsWith("run = ")) {
-                return new Router(name, discovery, line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')));
+                return new Router(name, discovery, line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')) + words);
             }
         }
         throw new IOException("deploy/balancer.toml has no run");
     }
 
+    public Router beside(Router first) throws IOException { return new Router(first); }
+
     /** One that is a member of a fleet, with that operator's file. */
     public Router daemon(String name, int discovery, Path operator) throws IOException {
         return new Router(name, discovery, "exec java -Djava.net.preferIPv4Stack=true -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx128m"
