--- a/review/stand-ins-2/src/review2/Engine.java
+++ b/review/stand-ins-2/src/review2/Engine.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -59,7 +60,11 @@
     public volatile java.util.function.Supplier<String> load;
     public final List<Run> runs = new CopyOnWriteArrayList<>();
     private final Rig rig;
-    private final ServerSocket server;
+    private volatile ServerSocket server;
+    private volatile int holds = Integer.MAX_VALUE;
+    private volatile boolean refused;
+    private volatile boolean over;
+    private final int port;
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger inFlight = new AtomicInteger();
     private final List<Connection> open = new CopyOnWriteArrayList<>();
@@ -69,21 +74,39 @@
         this.uid = uid;
         this.az = az;
         this.cell = cell;
-        server = new ServerSocket(Rig.freePort(), 512, Rig.loopback());
+        port = Rig.freePort();
+        server = new ServerSocket(port, 512, Rig.loopback());
         Discovery.start(uid, this::accept);
     }
 
     public int inFlight() { return inFlight.get(); }
 
-    public int port() { return server.getLocalPort(); }
+    public int port() { return port; }
+
+    /** It holds so many connections; while it does, new ones are refused. */
+    public void holds(int most) { holds = most; }
+
+    /** Whether it has held all that it can. */
+    public boolean hasRefused() { return refused; }
 
     private void accept() {
-        while (!server.isClosed()) {
+        while (!over) {
             try {
                 Connection on = new Connection(server.accept(), connections.incrementAndGet());
                 open.add(on);
                 Discovery.start(uid + " " + on.number, () -> serve(on));
-            } catch (IOException e) {
+                if (open.size() >= holds) {
+                    server.close();
+                    refused = true;
+                    while (open.size() >= holds && !over) {
+                        Rig.sleep(5);
+                    }
+                    ServerSocket next = new ServerSocket();
+                    next.setReuseAddress(true);
+                    next.bind(new InetSocketAddress(Rig.loopback(), port), 1);
+                    server = next;
+                }
+            } catch (IOException | InterruptedException e) {
                 return;
             }
         }
@@ -166,6 +189,7 @@
 
     /** The process ends: its connections are reset and new ones refused. */
     public void kill() throws IOException {
+        over = true;
         server.close();
         for (Connection on : open) {
             on.reset();
