--- a/review/stand-ins-2/src/review2/ColdReplicas.java
+++ b/review/stand-ins-2/src/review2/ColdReplicas.java
@@ -1,7 +1,6 @@
 package review2;
 
 import java.io.IOException;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -31,86 +30,21 @@
     private static final double TIP = 3;
     private static final double FALL_S = 1.5;
     private static final int SECONDS = 30;
-
-    /** How an engine fares: one prompt is read at a time, as fast as it can by then. */
-    static final class Model {
-        final Rig rig;
-        final Engine engine;
-        final ArrayDeque<Object> queue = new ArrayDeque<>();
-        final ConcurrentLinkedDeque<Double> arrivals = new ConcurrentLinkedDeque<>();
-        double worst;
-        String worstSaid = "";
-        boolean fallen;
-        double freeAt;
-
-        Model(Rig rig, Engine engine) {
-            this.rig = rig;
-            this.engine = engine;
-        }
-
-        double can(double now) {
-            return engine.bootMs == 0 ? 1 : Math.min(1, START + (1 - START) * (System.currentTimeMillis() - engine.bootMs) / 1e3 / RAMP_S);
-        }
-
-        synchronized void arrives(double now) {
-            if (engine.bootMs == 0 || can(now) >= 1) {
-                return;
-            }
-            arrivals.add(now);
-            while (arrivals.peekFirst() < now - FALL_S * 1e3) {
-                arrivals.pollFirst();
-            }
-            double n = TIP * can(now) * CAPACITY * FALL_S;
-            double most = n < 30 ? n + 3 * Math.sqrt(n) + 3 : n + 2 * Math.sqrt(n) + 2;
-            double ratio = arrivals.size() / most;
-            if (ratio > worst) {
-                worst = ratio;
-                worstSaid = String.format(Locale.ROOT, "%s: %d requests in %.1f s at %.2f of its capacity, where it bears %.1f (N = %.1f)",
-                        engine.uid, arrivals.size(), FALL_S, can(now), most, n);
-            }
-            if (ratio > 1 && !fallen) {
-                fallen = true;
-                rig.broken(worstSaid);
-            }
-        }
-
-        /** Waits until its prompt is read; false where too many wait. */
-        boolean read(double now) throws InterruptedException {
-            double wait;
-            synchronized (this) {
-                double work = 1e3 / (CAPACITY * can(now));
-                if (freeAt - now > 40 * work) {
-                    return false;
-                }
-                freeAt = Math.max(freeAt, now) + work;
-                wait = freeAt - now;
-            }
-            Rig.sleep((long) Math.max(1, wait));
-            return true;
-        }
-
-        synchronized String load() {
-            double now = rig.ms();
-            double work = 1e3 / (CAPACITY * can(now));
-            double waiting = Math.max(0, (freeAt - now) / work);
-            return String.format(Locale.ROOT, "{\"lat_ms\":%.1f,\"rif\":%d,\"q\":%d,\"x1\":%.3f}", work + 5, engine.inFlight(), (int) Math.max(0, waiting - 1), waiting * 0.4);
-        }
-    }
+    private static final ColdModel.Terms TERMS = new ColdModel.Terms(CAPACITY, START, RAMP_S, TIP, FALL_S);
 
     private ColdReplicas() { }
 
     public static void main(String[] args) { Rig.play(args, ColdReplicas::play); }
 
-    private static Model engine(Rig rig, Map<String, Model> models, String uid) throws IOException {
+    private static ColdModel engine(Rig rig, Map<String, ColdModel> models, String uid) throws IOException {
         Engine engine = rig.owns(new Engine(rig, uid, "mobile-room1", 0));
-        Model model = new Model(rig, engine);
+        ColdModel model = new ColdModel(rig, engine, TERMS);
         models.put(uid, model);
         engine.loud = false;
         engine.load = model::load;
         engine.answers = (self, on, run) -> {
-            double now = rig.ms();
-            model.arrives(now);
-            if (engine.draining || !model.read(now)) {
+            model.arrives();
+            if (engine.draining || !model.read()) {
                 on.out.write(Rig.ascii("HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"));
                 return;
             }
@@ -121,10 +55,10 @@
 
     private static void play(Rig rig) throws Exception {
         Discovery discovery = rig.owns(new Discovery(rig));
-        Map<String, Model> models = new ConcurrentHashMap<>();
-        List<Model> old = new ArrayList<>();
+        Map<String, ColdModel> models = new ConcurrentHashMap<>();
+        List<ColdModel> old = new ArrayList<>();
         for (int i = 0; i < ENGINES; i++) {
-            Model model = engine(rig, models, "s-" + i);
+            ColdModel model = engine(rig, models, "s-" + i);
             old.add(model);
             discovery.tell(model.engine, "ready");
         }
@@ -160,10 +94,10 @@
         while (rig.ms() < zero + SECONDS * 1e3) {
             double now = rig.ms() - zero;
             if (Rig.TROUBLE && gone < REPLACED && now > 6_000 + gone * (double) REPLACED_WITHIN_MS / REPLACED) {
-                Model leaves = old.get(gone);
+                ColdModel leaves = old.get(gone);
                 leaves.engine.draining = true;
                 discovery.tell(leaves.engine, "draining");
-                Model comes = engine(rig, models, "t-" + gone);
+                ColdModel comes = engine(rig, models, "t-" + gone);
                 comes.engine.bootMs = System.currentTimeMillis();
                 discovery.tell(comes.engine, "ready");
                 gone++;
@@ -181,11 +115,11 @@
                 rig.note("asked " + asked + ", tries " + tries + ", served " + served);
             }
         }
-        for (Model model : models.values()) {
-            rig.note("most: " + String.format(Locale.ROOT, "%.2f ", model.worst) + model.worstSaid);
+        for (ColdModel model : models.values()) {
+            rig.note("most: " + String.format(Locale.ROOT, "%.2f ", model.worst()) + model.worstSaid());
         }
         System.out.println(String.format(Locale.ROOT, "most, as a share of what is borne: %.2f; asked %d, tries %d, served %d",
-                models.values().stream().mapToDouble(m -> m.worst).max().orElse(0), asked.get(), tries.get(), served.get()));
+                models.values().stream().mapToDouble(m -> m.worst()).max().orElse(0), asked.get(), tries.get(), served.get()));
     }
 
     private static void ask(Rig rig, int port, ConcurrentLinkedDeque<Client> idle, boolean agent, AtomicInteger tries, AtomicInteger served) {
--- a/review/stand-ins-2/src/review2/Discovery.java
+++ b/review/stand-ins-2/src/review2/Discovery.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -35,7 +36,7 @@
 
     public static String entry(Engine engine, String state) {
         return "{\"uid\":\"" + engine.uid + "\",\"endpoint\":\"127.0.0.1:" + engine.port() + "\",\"az\":\"" + engine.az + "\",\"model\":\"mid-gpu\",\"pod_group\":"
-                + engine.cell + ",\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":" + engine.bootMs + "}";
+                + engine.cell + ",\"state\":\"" + state + "\",\"capacity_hint\":" + String.format(Locale.ROOT, "%.3f", engine.hint) + ",\"boot_ms\":" + engine.bootMs + "}";
     }
 
     /** A change of the list, told to all watches at once. */
--- a/review/stand-ins-2/src/review2/Engine.java
+++ b/review/stand-ins-2/src/review2/Engine.java
@@ -54,6 +54,7 @@
     public final String az;
     public final int cell;
     public volatile long bootMs;
+    public volatile double hint = 1;
     public volatile Answers answers = (engine, on, run) -> engine.stream(on, run.id(), 5, 4);
     public volatile boolean draining;
     public volatile boolean loud = true;
--- a/review/stand-ins-2/src/review2/Rig.java
+++ b/review/stand-ins-2/src/review2/Rig.java
@@ -147,18 +147,6 @@
             log = folder.resolve("log");
         }
 
-        /** A second process of the same router, beside the first: the same addresses and $TMPDIR, another one for operators. */
-        Router(Router first) throws IOException {
-            name = first.name;
-            discovery = first.discovery;
-            run = first.run;
-            port = first.port;
-            operatorPort = freePort();
-            folder = first.folder;
-            config = folder.resolve("config-" + operatorPort + ".json");
-            log = folder.resolve("log-" + operatorPort);
-        }
-
         public Process process() { return process; }
 
         public void start(String configuration) throws IOException, InterruptedException {
@@ -171,7 +159,7 @@
             builder.environment().put("NODE_DISCOVERY", "127.0.0.1:" + discovery);
             builder.environment().put("NODE_CONFIG", config.toString());
             builder.environment().put("TMPDIR", tmp.toString());
-            process = builder.start(); // started anew where it was ended before
+            process = builder.start();
             processes.add(process);
             note("router " + name + " started, pid " + process.pid() + ", port " + port);
             awaitReady();
@@ -201,28 +189,14 @@
             new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
         }
 
-        /** A call at the operators' address, or of /ready at the clients': its status. */
-        public int get(String path, int at) throws IOException { return call("GET", path, at); }
-
-        public int call(String method, String path, int at) throws IOException {
+        private int get(String path, int at) throws IOException {
             try (Socket socket = connect(at)) {
                 socket.setSoTimeout(3_000);
-                socket.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+                socket.getOutputStream().write(ascii("GET " + path + " HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n"));
                 return Head.read(new BufferedInputStream(socket.getInputStream())).status();
             }
         }
 
-        /** What an operator's call answers: its status, a space, and its text. */
-        public String text(String method, String path) throws IOException {
-            try (Socket socket = connect(operatorPort)) {
-                socket.setSoTimeout(3_000);
-                socket.getOutputStream().write(ascii(method + " " + path + " HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"));
-                BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
-                Head head = Head.read(in);
-                return head.status() + " " + new String(in.readNBytes(Integer.parseInt(head.field("Content-Length"))), StandardCharsets.UTF_8);
-            }
-        }
-
         public boolean isAlive() { return process.isAlive(); }
     }
 
@@ -239,14 +213,6 @@
         throw new IOException("deploy/balancer.toml has no run");
     }
 
-    public Router beside(Router first) throws IOException { return new Router(first); }
-
-    /** One that is a member of a fleet, with that operator's file. */
-    public Router daemon(String name, int discovery, Path operator) throws IOException {
-        return new Router(name, discovery, "exec java -Djava.net.preferIPv4Stack=true -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx128m"
-                + " -XX:-UsePerfData -jar fleet/target/streamproxy-fleet.jar daemon --operator " + operator);
-    }
-
     public static Socket connect(int port) throws IOException {
         Socket socket = new Socket();
         socket.setTcpNoDelay(true);
