--- a/review/stand-ins-2/src/review2/Rig.java
+++ b/review/stand-ins-2/src/review2/Rig.java
@@ -186,7 +186,7 @@
 
         public void signal(String signal) throws IOException, InterruptedException {
             note("SIG" + signal + " to " + name);
-            new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
         }
 
         private int get(String path, int at) throws IOException {
