--- a/review/stand-ins-2/src/review2/ColdReplicas.java
+++ b/review/stand-ins-2/src/review2/ColdReplicas.java
@@ -40,7 +40,6 @@
         Engine engine = rig.owns(new Engine(rig, uid, "mobile-room1", 0));
         ColdModel model = new ColdModel(rig, engine, TERMS);
         models.put(uid, model);
-        engine.loud = false;
         engine.load = model::load;
         engine.answers = (self, on, run) -> {
             model.arrives();
@@ -66,6 +65,9 @@
         settings.classes = List.of(new Settings.RequestClass("shift-agent", 5, 2_500, 12_000, "safe", "all", 5_000),
                 new Settings.RequestClass("doc-lookup", 3, 1_500, 6_000, "safe", "all", 5_000));
         settings.attempts = 4;
+        settings.weights = "silent";
+        settings.areas = "\"mobile-room1\"";
+        settings.connectTimeoutMs = 100;
         settings.start = START;
         settings.rampMs = (int) (RAMP_S * 1e3);
         settings.tip = TIP;
@@ -118,6 +120,9 @@
         for (ColdModel model : models.values()) {
             rig.note("most: " + String.format(Locale.ROOT, "%.2f ", model.worst()) + model.worstSaid());
         }
+        if (served.get() < asked.get() / 4) {
+            throw new IOException("too few requests were served");
+        }
         System.out.println(String.format(Locale.ROOT, "most, as a share of what is borne: %.2f; asked %d, tries %d, served %d",
                 models.values().stream().mapToDouble(m -> m.worst()).max().orElse(0), asked.get(), tries.get(), served.get()));
     }
@@ -126,13 +131,14 @@
         Client client = idle.poll();
         if (client == null) {
             client = new Client(rig, "c", port);
-            client.loud = false;
         }
         boolean heeds = ThreadLocalRandom.current().nextDouble() < HONOUR;
+        double until = rig.ms() + (agent ? 12_000 : 6_000); // the class's deadline, over all tries
         try {
-            for (int i = 0; i <= RETRIES; i++) {
+            for (int i = 0; i <= RETRIES && until - rig.ms() > 100; i++) {
                 tries.incrementAndGet();
-                Client.Answer answer = client.ask(agent ? "shift-agent" : "doc-lookup", Rig.newId(), agent ? 6 : 3, 1_600);
+                double waits = Math.min(agent ? 6 : 3, (until - rig.ms()) / 1e3); // half of it for a try
+                Client.Answer answer = client.ask(agent ? "shift-agent" : "doc-lookup", Rig.newId(), waits, 1_600);
                 if (answer.served()) {
                     served.incrementAndGet();
                     break;
--- a/review/stand-ins-2/src/review2/CollectorAway.java
+++ b/review/stand-ins-2/src/review2/CollectorAway.java
@@ -73,6 +73,7 @@
                     Matcher record = RECORD.matcher(new String(message, StandardCharsets.UTF_8));
                     if (record.matches()) {
                         ids.add(record.group(2));
+                        rig.note("the collector has read a record of " + record.group(2));
                     }
                 }
             } catch (IOException | InterruptedException e) {
@@ -110,7 +111,6 @@
         Discovery discovery = rig.owns(new Discovery(rig));
         for (int i = 0; i < 4; i++) {
             Engine engine = rig.owns(new Engine(rig, "s-" + i, i % 2 == 0 ? "thu-duc" : "tan-binh", i));
-            engine.loud = false;
             discovery.tell(engine, "ready");
         }
         Collector collector = rig.owns(new Collector(rig));
--- a/review/stand-ins-2/src/review2/LiveWeights.java
+++ b/review/stand-ins-2/src/review2/LiveWeights.java
@@ -44,6 +44,8 @@
                 new Settings.RequestClass("doc-lookup", 3, 1_500, 6_000, "safe", "all", 5_000));
         settings.attempts = 4;
         settings.weights = "live";
+        settings.areas = "\"mobile-room1\"";
+        settings.connectTimeoutMs = 100;
         settings.start = TERMS.start();
         settings.rampMs = (int) (TERMS.rampS() * 1e3);
         settings.tip = TERMS.tip();
@@ -98,6 +100,9 @@
             }
         });
         rig.note("asked " + asked + ", served " + served);
+        if (served.get() < asked.get() / 2) {
+            throw new IOException("too few requests were served");
+        }
     }
 
     /** Tells the weights as they were a while ago: the size divided by 1 + the requests held for each core. */
@@ -133,7 +138,6 @@
         Engine engine = rig.owns(new Engine(rig, uid, "mobile-room1", 0));
         ColdModel model = new ColdModel(rig, engine, TERMS);
         models.put(engine, model);
-        engine.loud = false;
         engine.load = model::load;
         engine.answers = (self, on, run) -> {
             model.arrives();
@@ -150,7 +154,6 @@
         Client client = idle.poll();
         if (client == null) {
             client = new Client(rig, "c", port);
-            client.loud = false;
         }
         try {
             served.addAndGet(client.ask("shift-agent", Rig.newId(), 6, 1_600).served() ? 1 : 0);
--- a/review/stand-ins-2/src/review2/RepeatWindow.java
+++ b/review/stand-ins-2/src/review2/RepeatWindow.java
@@ -1,16 +1,21 @@
 package review2;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A new configuration changes a class's effect while requests of it are open: are they repeated within their old window only? */
 public final class RepeatWindow {
-    private static final int HOLDS = 16;
+    /** The connections that an engine accepts, and those of them that other routers have. */
+    private static final int HOLDS = 1_200;
+    private static final int OTHERS = 1_184;
+    private static final int ROUTERS = 4;
     private static final int LEDGERS = 12;
     private static final int WINDOW_MS = 1_000;
     private static final int SLACK_MS = 50;
@@ -31,8 +36,11 @@
         Engine breaks = rig.owns(new Engine(rig, "s-breaks", "thu-duc", 0));
         Engine full = rig.owns(new Engine(rig, "s-full", "thu-duc", 1));
         full.holds(HOLDS);
+        full.loud = false;
+        others(rig, full);
+        full.loud = true;
         AtomicInteger streams = new AtomicInteger();
-        Map<String, String> kinds = new java.util.concurrent.ConcurrentHashMap<>();
+        Map<String, String> kinds = new ConcurrentHashMap<>();
         breaks.answers = (self, on, run) -> {
             if (kinds.get(run.id()).equals("ledger")) {
                 Rig.sleep(300);
@@ -54,7 +62,7 @@
         discovery.tell(full, "ready");
         Rig.Router router = rig.router("n0", discovery.port());
         Settings before = settings("keyed");
-        before.routers = 1;
+        before.routers = ROUTERS;
         router.start(before.file(router, 0, discovery.port(), discovery.list()));
         Rig.sleep(3_000);
         List<Thread> threads = new ArrayList<>();
@@ -77,7 +85,7 @@
         Rig.sleep(100);
         if (Rig.TROUBLE) {
             Settings after = settings("safe");
-            after.routers = 1;
+            after.routers = ROUTERS;
             Files.writeString(router.config, after.file(router, 0, discovery.port(), discovery.list()));
             router.signal("HUP");
         }
@@ -106,6 +114,29 @@
         rig.note(first.size() + " requests of the class ran, " + repeated + " of them twice");
     }
 
+    /** The connections of the routers that are not played: each is asked for a report now and then, so that it stays. */
+    private static void others(Rig rig, Engine engine) throws IOException {
+        List<Socket> held = new ArrayList<>();
+        for (int i = 0; i < OTHERS; i++) {
+            held.add(Rig.connect(engine.port()));
+        }
+        rig.note("other routers have " + held.size() + " of the " + HOLDS + " connections that " + engine.uid + " accepts");
+        Discovery.start("other routers", () -> {
+            try {
+                while (true) {
+                    for (Socket socket : held) {
+                        socket.getOutputStream().write(Rig.ascii("GET /status/load HTTP/1.1\r\nHost: s\r\n\r\n"));
+                        Rig.Head head = Rig.Head.read(socket.getInputStream());
+                        socket.getInputStream().readNBytes(Integer.parseInt(head.field("Content-Length")));
+                    }
+                    Rig.sleep(2_000);
+                }
+            } catch (IOException | InterruptedException e) {
+                rig.note("the other routers' connections end: " + e.getMessage());
+            }
+        });
+    }
+
     private static void ask(Rig rig, int port, String kind, Map<String, String> kinds, List<Thread> threads) {
         String id = Rig.newId();
         kinds.put(id, kind);
--- a/review/stand-ins-2/src/review2/Rig.java
+++ b/review/stand-ins-2/src/review2/Rig.java
@@ -84,7 +84,7 @@
                 record.write(String.format(Locale.ROOT, "%10.1f  %s%n", ms(), line));
                 record.flush();
             } catch (IOException e) {
-                throw new IllegalStateException(e);
+                // the play is over, and its record closed
             }
         }
     }
--- a/review/stand-ins-2/src/review2/Settings.java
+++ b/review/stand-ins-2/src/review2/Settings.java
@@ -19,6 +19,7 @@
     public boolean secondCopies = true;
     public String discovery = "on_request";
     public String weights = "nominal";
+    public String areas = "\"thu-duc\",\"tan-binh\"";
     public int memoryMb = 192;
     public int sockets = 1_024;
     public int connectTimeoutMs = 120;
@@ -38,7 +39,7 @@
         }
         String slopes = String.join(",", classes.stream().map(c -> "60000.0").toList());
         String tokens = String.join(",", classes.stream().map(c -> "100000000").toList());
-        return "{\"Me\":" + me + ",\"Balancers\":" + routers + ",\"Az\":0,\"Areas\":[\"thu-duc\",\"tan-binh\"],\"Flavors\":[\"big-gpu\",\"mid-gpu\",\"small-gpu\"],"
+        return "{\"Me\":" + me + ",\"Balancers\":" + routers + ",\"Az\":0,\"Areas\":[" + areas + "],\"Flavors\":[\"big-gpu\",\"mid-gpu\",\"small-gpu\"],"
                 + "\"Discovery\":\"" + discovery + "\",\"DomainType\":\"llm\",\"Tenants\":[],\"Tier\":0,\"Tiers\":[\"model-replicas\"],\"Weights\":\"" + weights + "\","
                 + "\"WorthBy\":\"request\",\"OverShareWorth\":0.1,\"Step\":5000000,\"ClientHabits\":{\"MarksRetry\":false},"
                 + "\"Classes\":[" + told + "],"
