Say in the log what a cold replica was sent, beside what came and what warm ones began

Change: the turns of a cold replica are a class of their own (SlowStart), which counts; the module's actor says the counts once the replica is warm. No decision is changed.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -127,10 +127,7 @@
         long ejectedUntil;           // 0 = in service
         boolean reset;               // the last attempt was reset
         boolean trial;               // one attempt out to a replica coming back
-        double turns;                // while it is cold: a prompt may go there at 1
-        long turnAt;                 // since when
-        long earnedAt;               // turns were earned up to then
-        Routing.Granted granted;     // by a steward, if there is one
+        SlowStart slowStart;         // while it is cold; null for one that is warm
 
         Rep(long id, int place) {
             this.id = id;
@@ -271,9 +268,8 @@
             arrange(now);
         } else if (event instanceof Routing.Granted e) {
             Rep r = byId.get(e.replica());
-            if (r != null) {
-                r.earnedAt = r.granted == null ? now : r.earnedAt;
-                r.granted = e;
+            if (r != null && cold(now, r)) {
+                slowStart(r).grant(now, e);
             }
         } else if (event instanceof Dropped e) {
             Req q = requests.get(e.request());
@@ -314,13 +310,13 @@
                 r.provenAt = EndpointTrust.NEVER_PROVEN;
                 r.strikes = 0;
                 r.ejectedUntil = 0;
-                r.turns = r.place / (double) owners.gateways();
+                r.born = e.bornNs();
+                r.slowStart = null;
                 delist(r);
             }
             r.zone = e.zone();
             r.cell = e.cell();
             r.weight = Math.max(WEIGHT_LEAST, Math.min(WEIGHT_MOST, e.weight()));
-            r.born = e.bornNs();
             if (ready && !r.inFleet) {
                 fleet.add(r);
                 r.inFleet = true;
@@ -513,6 +509,9 @@
             if (share > 0 && cold(now, r)) {
                 double perS = arrivals * Math.exp((arrivalsAt - now) / (8.0 * SECOND));
                 out.cold(r.id, r.weight * can(now, r) * share, perS);
+            } else if (r.slowStart != null && !cold(now, r)) {
+                out.warmedUp(r.slowStart.summary(now, r.id, r.weight));
+                r.slowStart = null;
             }
         }
         release(now);
@@ -844,16 +843,7 @@
         double share = now < coldUntil ? turnsShare(now) : 0;
         for (Rep r : fleet) {
             if (share > 0 && cold(now, r)) {
-                // What is not taken lapses as the rule's window has passed: added up it would be a burst.
-                r.turns -= r.turns >= 1 && now - r.turnAt > set.rules().fallNs() ? 1 : 0;
-                if (r.turns < 1) {
-                    boolean given = r.granted != null && now < r.granted.until();
-                    double earned = given ? r.granted.perS() * (now - r.earnedAt) / SECOND
-                            : r.weight * can(now, r) * share;
-                    r.turns = given ? Math.min(1, r.turns + earned) : r.turns + earned;
-                    r.turnAt = now;
-                }
-                r.earnedAt = now;
+                slowStart(r).arrived(now, r.weight * can(now, r) * share, set.rules().fallNs());
             }
         }
     }
@@ -872,18 +862,39 @@
         }
         Rep to = null;
         for (Rep r : fleet) {
-            if (r.turns >= 1 && cold(now, r) && r.ejectedUntil <= now && (to == null || r.turnAt < to.turnAt)
+            if (cold(now, r) && slowStart(r).hasTurn() && r.ejectedUntil <= now
+                    && (to == null || r.slowStart.turnSince() < to.slowStart.turnSince())
                     && mayRepeat(now, q, r) && inTime(now, q, r) && trust.allows(now, r.provenAt)) {
                 to = r;
             }
         }
         if (to != null) {
-            to.turns--;
+            to.slowStart.taken();
             send(now, q, to, Choice.COLD_TURN);
         }
         return to != null;
     }
 
+    /** Where the gateways begin is spread evenly, so that their turns do not come together. */
+    private SlowStart slowStart(Rep r) {
+        if (r.slowStart == null) {
+            r.slowStart = new SlowStart(r.born, r.place / (double) owners.gateways());
+        }
+        return r.slowStart;
+    }
+
+    /** An own prompt has begun there: what replicas begin is what they can do. */
+    private void noteBegun(long now, Rep at) {
+        if (now >= coldUntil) {
+            return;
+        }
+        if (at.slowStart != null) {
+            at.slowStart.begunHere();
+        } else if (at.ready) {
+            fleet.stream().filter(r -> r.slowStart != null).forEach(r -> r.slowStart.begunAtWarm());
+        }
+    }
+
     /** What a cold replica can do, as a share of what it can when it is warm. */
     private double can(long now, Rep r) {
         double floor = set.rules().startCapacity();
@@ -957,6 +968,7 @@
         Attempt a = q.attempts.get(e.attempt());
         if (!a.begun) {
             a.begun = true;
+            noteBegun(now, a.to);
             meanFirst += 0.05 * (now - a.at - meanFirst);
             a.to.pending = Math.max(0, a.to.pending - q.in.promptTokens());
             a.to.strikes = 0;
--- a/decision/src/main/java/streamproxy/decision/Routing.java
+++ b/decision/src/main/java/streamproxy/decision/Routing.java
@@ -185,6 +185,18 @@
     /** So many prompts a second may go from this gateway to a cold replica until then, in place of the gateway's own rule. */
     public record Granted(long replica, double perS, long until) implements Event { }
 
+    /**
+     * What a replica was sent by this gateway while it was cold, for logs alone.
+     *
+     * @param forNs     since its start
+     * @param size      what it can do once it is warm, beside others
+     * @param sent      own prompts that went there
+     * @param begun     own prompts that began there
+     * @param arrivals  own prompts that came meanwhile
+     * @param begunWarm own prompts that began at warm replicas meanwhile
+     */
+    public record WarmUp(long replica, long forNs, double size, int sent, int begun, int arrivals, int begunWarm) { }
+
     /** What a probe found; {@code report} is null where none came along. */
     public record Probed(long replica, Outcome outcome, long afterNs, LoadReport report) implements Event {
         public Probed { Objects.requireNonNull(outcome, "outcome"); }
@@ -240,6 +252,9 @@
         /** The list is confirmed again, after so long and so many attempts that went by such proofs; for logs alone. */
         default void listConfirmed(long afterNs, long sentOnProof) { }
 
+        /** A replica is warm now; for logs alone. */
+        default void warmedUp(WarmUp summary) { }
+
         /** A replica gets nothing for a while, or something again; for records alone. */
         default void leftOut(long replica, boolean out) { }
     }
--- a/router/src/main/java/streamproxy/routing/ModuleActor.java
+++ b/router/src/main/java/streamproxy/routing/ModuleActor.java
@@ -589,6 +589,12 @@
         records.list("confirmed", 0, endpoints.size());
     }
 
+    @Override public void warmedUp(Routing.WarmUp warmUp) {
+        Logger.info("replica {} is warm after {} ms: {} prompts sent there, {} begun, of {} that came; {} began at warm replicas; size {}",
+                endpoints.uid(warmUp.replica()), warmUp.forNs() / MS, warmUp.sent(), warmUp.begun(), warmUp.arrivals(), warmUp.begunWarm(),
+                warmUp.size());
+    }
+
     @Override public void leftOut(long replica, boolean out) {
         if (records.on()) {
             records.box(endpoints.uid(replica), null, out ? "left_out" : "taken_back", out ? "its attempts failed" : "it answers again");
