Take a list's weights for sizes only where the settings say that they are

Cause: Weights was never read, and each weight was taken for a size; a live one is the idleness of a while back, so that the new replica counted for as much as nine busy ones. Sizes were held to 0.1 to 10, though they have no unit. Evidence: the log of the case has the replica at size 0.1 when its ramp ends, 1 at its start. Change: SettingsText reads Weights; ReplicaSizes counts ratios of sizes, all alike where they are none, and then gives a cold one 2/3 of a warm one's part.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -83,8 +83,6 @@
     /** What each own attempt out adds, in mean prompts: reports come late, slow replicas keep theirs. */
     private static final double RUNNING = 0.1;
     private static final int DRAWN = 4; // from the zone that goes first, with two of the other beside them
-    private static final double WEIGHT_LEAST = 0.1; // a list may tell anything
-    private static final double WEIGHT_MOST = 10;
     private static final double COLD_IN_TIME = 0.7; // the share of its time in which a prompt must be begun
     /** At most: from the end of an answered watch to the next call, and between calls without an answer. */
     public static final long ASK_FIRST = 300 * MS;
@@ -98,6 +96,7 @@
 
     private Settings set;
     private final EndpointTrust trust = new EndpointTrust();
+    private final ReplicaSizes sizes = new ReplicaSizes();
     private final RetryBudget retries;
     private final Actions out;
     private final SplittableRandom random;
@@ -109,7 +108,7 @@
         int place;                   // this gateway's among its owners
         int zone;
         int cell;
-        double weight = 1;           // what it can do once it is warm, beside others
+        double weight = 1;           // as the list tells it
         long born;
         boolean ready;
         boolean inFleet;             // stands among the ready ones, whether or not it is one still
@@ -245,6 +244,7 @@
             }
         }
         set = next;
+        sizes.take(set.weights(), fleet.stream().mapToDouble(r -> r.weight).toArray());
     }
 
     /** Takes one event; events come in order, {@code now} never goes back. */
@@ -319,7 +319,7 @@
             }
             r.zone = e.zone();
             r.cell = e.cell();
-            r.weight = Math.max(WEIGHT_LEAST, Math.min(WEIGHT_MOST, e.weight()));
+            r.weight = ReplicaSizes.sound(e.weight());
             if (ready && !r.inFleet) {
                 fleet.add(r);
                 r.inFleet = true;
@@ -335,6 +335,7 @@
         if (changed) {
             arrange(now);
         }
+        sizes.take(set.weights(), fleet.stream().mapToDouble(r -> r.weight).toArray());
         release(now);
     }
 
@@ -510,9 +511,9 @@
         double share = turnsShare(now);
         for (Rep r : fleet) {
             if (share > 0 && cold(now, r)) {
-                out.cold(r.id, r.weight * can(now, r) * share, warmBegins.perS(now));
+                out.cold(r.id, sizes.ofCold(r.weight) * can(now, r) * share, warmBegins.perS(now));
             } else if (r.slowStart != null && !cold(now, r)) {
-                out.warmedUp(r.slowStart.summary(now, r.id, r.weight));
+                out.warmedUp(r.slowStart.summary(now, r.id, sizes.ofCold(r.weight)));
                 r.slowStart = null;
             }
         }
@@ -864,7 +865,8 @@
             double share = turnsShare(now);
             for (Rep r : fleet) {
                 if (cold(now, r)) {
-                    slowStart(now, r).begunAtWarm(now, share * r.weight * can(now, r), set.rules());
+                    double credit = share * sizes.ofCold(r.weight) * can(now, r);
+                    slowStart(now, r).begunAtWarm(now, credit, set.rules());
                 }
             }
         }
@@ -881,7 +883,7 @@
     private boolean isWarm(long now, Rep r) { return r.ready && !cold(now, r) && r.ejectedUntil <= now; }
 
     private double warmSize(long now) {
-        return fleet.stream().filter(r -> isWarm(now, r)).mapToDouble(r -> r.weight).sum();
+        return fleet.stream().filter(r -> isWarm(now, r)).mapToDouble(r -> sizes.ofWarm(r.weight)).sum();
     }
 
     /** The share of what warm ones begin, by size, for a cold one that can do all; 0 where none is warm. */
--- a/decision/src/main/java/streamproxy/decision/Routing.java
+++ b/decision/src/main/java/streamproxy/decision/Routing.java
@@ -19,6 +19,25 @@
     /** How load reports reach a gateway. */
     public enum Reports { PIGGYBACK, PULL, SILENT }
 
+    /** What the weights of a replica list are. */
+    public enum Weights {
+        /** Always 1, or not told what. */
+        SILENT(false),
+        /** The registered size. */
+        NOMINAL(true),
+        /** About the size. */
+        ROUGH(true),
+        /** The size over the requests in hand, as of a while back: who was idle, not who can do much. */
+        LIVE(false);
+
+        private final boolean sizes;
+
+        Weights(boolean sizes) { this.sizes = sizes; }
+
+        /** Whether they tell what a replica can do, beside others. */
+        public boolean areSizes() { return sizes; }
+    }
+
     /** Health as the replica list gives it. */
     public enum Health { GONE, READY, DRAINING }
 
@@ -83,7 +102,7 @@
     /** All that a gateway is told at its start. */
     public record Settings(int me, int gateways, int zone, List<RequestClass> classes, List<Tenant> tenants,
             double overShareWorth, Reports reports, boolean listOnRequest, Rules rules, Limits limits,
-            Prices prices) {
+            Prices prices, Weights weights) {
         public Settings {
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
@@ -91,13 +110,15 @@
             Objects.requireNonNull(rules, "rules");
             Objects.requireNonNull(limits, "limits");
             Objects.requireNonNull(prices, "prices");
+            Objects.requireNonNull(weights, "weights");
             require(!classes.isEmpty(), "classes");
             require(gateways > 0 && me >= 0 && me < gateways, "me, gateways");
         }
 
         /** The same for a gateway that hears of the list only by asking for it. */
         public Settings askingForList() {
-            return new Settings(me, gateways, zone, classes, tenants, overShareWorth, reports, true, rules, limits, prices);
+            return new Settings(me, gateways, zone, classes, tenants, overShareWorth, reports, true, rules, limits, prices,
+                    weights);
         }
     }
 
--- a/decision/src/main/java/streamproxy/decision/SettingsText.java
+++ b/decision/src/main/java/streamproxy/decision/SettingsText.java
@@ -71,7 +71,17 @@
             default -> Routing.Reports.SILENT;
         };
         return new Routing.Settings(me(), gateways(), (int) get("Az", 0), classes, tenants,
-                get("OverShareWorth", 1), reports, onRequest, rules, limits, prices);
+                get("OverShareWorth", 1), reports, onRequest, rules, limits, prices, weights());
+    }
+
+    /** A word that is unknown here may mean anything: then weights are no sizes. */
+    private Routing.Weights weights() {
+        return switch (values.getOrDefault("Weights", "silent")) {
+            case "nominal" -> Routing.Weights.NOMINAL;
+            case "rough" -> Routing.Weights.ROUGH;
+            case "live" -> Routing.Weights.LIVE;
+            default -> Routing.Weights.SILENT;
+        };
     }
 
     /** How many routers share the boxes. A wrong number would have each take the turns or the boxes of others. */
--- a/decision/src/test/java/streamproxy/decision/ColdReplicaLoadTest.java
+++ b/decision/src/test/java/streamproxy/decision/ColdReplicaLoadTest.java
@@ -22,14 +22,14 @@
     private static final double[] ALIKE = {1};
     private static final double[] SIZES = {0.4, 1, 1.8};
 
-    private static Fleet fleet(int routers, long seed, int retries, double... sizes) {
-        return Fleet.of(routers, REPLICAS, seed, sizes).withPace(WARM_PER_S).withPlaces(40).withRetries(retries).unevenly();
+    private static Fleet fleet(int routers, long seed, int retries, Routing.Weights weights, double... sizes) {
+        return Fleet.of(routers, REPLICAS, seed, weights, sizes).withPace(WARM_PER_S).withPlaces(40).withRetries(retries).unevenly();
     }
 
     private static double capacity(Fleet fleet) {
         double all = 0;
         for (long id = 1; id <= REPLICAS; id++) {
-            all += WARM_PER_S * fleet.weight(id);
+            all += WARM_PER_S * fleet.size(id);
         }
         return all;
     }
@@ -40,7 +40,7 @@
         for (long id = 1; id <= cold; id++) {
             List<Long> times = fleet.sent.getOrDefault(id, List.of());
             for (long at : times) {
-                double n = rules.tipMultiple() * WARM_PER_S * fleet.weight(id) * fleet.can(id, at) * rules.fallNs() / S;
+                double n = rules.tipMultiple() * WARM_PER_S * fleet.size(id) * fleet.can(id, at) * rules.fallNs() / S;
                 double most = n < 30 ? n + 3 * Math.sqrt(n) + 3 : n + 2 * Math.sqrt(n) + 2;
                 long got = times.stream().filter(t -> t >= at && t < at + rules.fallNs()).count();
                 assertTrue(got <= most, what + ": " + got + " calls in the window at " + id + ", which bears " + most + " "
@@ -56,8 +56,25 @@
     @Property(seed = "65", tries = 60) void whateverComesInAColdReplicaIsSentNoMoreThanItBears(@ForAll long seed,
             @ForAll @IntRange(min = 0, max = 4) int size, @ForAll @IntRange(min = 1, max = REPLICAS) int cold,
             @ForAll @IntRange(min = 0, max = 5) int load, @ForAll @IntRange(min = 0, max = 4) int retries, @ForAll boolean kinds) {
-        Fleet fleet = fleet(ROUTERS[size], seed, retries, kinds ? SIZES : ALIKE);
-        double perS = LOADS[load] * capacity(fleet);
+        Fleet fleet = fleet(ROUTERS[size], seed, retries, Routing.Weights.NOMINAL, kinds ? SIZES : ALIKE);
+        assertBorneWhileReplaced(fleet, cold, LOADS[load], ROUTERS[size] + " routers, " + retries + " retries, ");
+    }
+
+    /**
+     * With live weights a replica that had just started counted for as much as nine busy ones, and got 1.5 times what it bore;
+     * with silent ones a small replica was taken for one of the mean.
+     */
+    @Property(seed = "66", tries = 60) void aWeightThatIsNoSizeDoesNotHaveAColdReplicaSentMoreThanItBears(@ForAll long seed,
+            @ForAll @IntRange(min = 0, max = 4) int size, @ForAll @IntRange(min = 1, max = REPLICAS) int cold,
+            @ForAll @IntRange(min = 0, max = 5) int load, @ForAll @IntRange(min = 0, max = 4) int retries, @ForAll boolean kinds,
+            @ForAll boolean live) {
+        Routing.Weights weights = live ? Routing.Weights.LIVE : Routing.Weights.SILENT;
+        Fleet fleet = fleet(ROUTERS[size], seed, retries, weights, kinds ? SIZES : ALIKE);
+        assertBorneWhileReplaced(fleet, cold, LOADS[load], weights + ", " + ROUTERS[size] + " routers, " + retries + " retries, ");
+    }
+
+    private static void assertBorneWhileReplaced(Fleet fleet, int cold, double load, String what) {
+        double perS = load * capacity(fleet);
         fleet.run(3 * S, perS);
         for (long id = 1; id <= cold; id++) {
             fleet.sent.remove(id);
@@ -65,6 +82,6 @@
             fleet.run(7 * S / REPLICAS, perS);
         }
         fleet.run(8 * S, perS);
-        assertBorne(fleet, cold, ROUTERS[size] + " routers, load " + LOADS[load] + ", " + retries + " retries, " + cold + " cold");
+        assertBorne(fleet, cold, what + "load " + load + ", " + cold + " cold");
     }
 }
--- a/decision/src/test/java/streamproxy/decision/ExampleTest.java
+++ b/decision/src/test/java/streamproxy/decision/ExampleTest.java
@@ -39,7 +39,7 @@
                 2_000 * MS, 60_000, 8_000 * MS, 1, 0, true);
         return new Routing.Settings(0, 1, 0, List.of(chat), List.of(), 1, Routing.Reports.PIGGYBACK, false,
                 new Routing.Rules(0, 250 * MS, 0, 0.2, 20_000 * MS, 3, 1_000 * MS),
-                new Routing.Limits(3, true, true, true, false, 0), new Routing.Prices(0, 0, 0, 0, 0));
+                new Routing.Limits(3, true, true, true, false, 0), new Routing.Prices(0, 0, 0, 0, 0), Routing.Weights.NOMINAL);
     }
 
     @Test void routesARequestToAReplicaThatReportedItselfIdle() {
@@ -75,7 +75,7 @@
                 Routing.Group.ALL, 0, -1, 0, 1, 1, 0, true));
         Routing.Settings s = settings();
         assertThrows(IllegalArgumentException.class, () -> new Routing.Settings(3, 1, 0, s.classes(), s.tenants(), 1,
-                s.reports(), false, s.rules(), s.limits(), s.prices()));
+                s.reports(), false, s.rules(), s.limits(), s.prices(), s.weights()));
         assertThrows(UnsupportedOperationException.class, () -> s.classes().clear());
     }
 }
--- a/decision/src/test/java/streamproxy/decision/Fleet.java
+++ b/decision/src/test/java/streamproxy/decision/Fleet.java
@@ -23,10 +23,17 @@
     static final long STEP = 10 * MS;
     private static final long SHARE = S;
 
+    private static final long LIVE_EVERY = 2 * S;
+    private static final long LIVE_LATE = 3 * S;
+    private static final long STREAM = S; // an answer is in hand for so long
+
     private final Map<Long, Routing.Endpoint> boxes = new HashMap<>();
+    private final Map<Long, Double> sizes = new HashMap<>(); // what each can do, beside others
+    private Routing.Weights meaning;
+    private final Map<Long, ArrayDeque<Double>> live = new HashMap<>(); // by box: its live weight at each look up to now
     private final List<Rig> rigs = new ArrayList<>();
     final Map<Long, List<Long>> sent = new HashMap<>(); // when, by box
-    final Map<Long, Integer> begun = new HashMap<>();    // by box, where they have a pace
+    private final Map<Long, List<Long>> begun = new HashMap<>(); // when, by box, where they have a pace
     final List<Long> probes = new ArrayList<>();        // when
     final List<Long> calls = new ArrayList<>();
     private final Map<Rig, Long> calledAt = new HashMap<>();
@@ -65,10 +72,15 @@
     static Fleet of(int routers, int boxes, long seed) { return of(routers, boxes, seed, 1); }
 
     /** One of kinds of such weights, in turn. */
-    static Fleet of(int routers, int boxes, long seed, double... weights) {
+    static Fleet of(int routers, int boxes, long seed, double... weights) { return of(routers, boxes, seed, Routing.Weights.NOMINAL, weights); }
+
+    /** One of kinds of such sizes, in turn, of which the list's weights tell so much. */
+    static Fleet of(int routers, int boxes, long seed, Routing.Weights meaning, double... sizes) {
         Fleet fleet = new Fleet(seed);
+        fleet.meaning = meaning;
         for (long id = 1; id <= boxes; id++) {
-            fleet.boxes.put(id, Rig.at(id, weights[(int) (id % weights.length)], 0, 0, Routing.Health.READY));
+            fleet.sizes.put(id, sizes[(int) (id % sizes.length)]);
+            fleet.boxes.put(id, Rig.at(id, fleet.told(id), 0, 0, Routing.Health.READY));
         }
         for (int me = 0; me < routers; me++) {
             fleet.rigs.add(null);
@@ -167,15 +179,38 @@
 
     long bornAt(long box) { return boxes.get(box).bornNs(); }
 
-    double weight(long box) { return boxes.get(box).weight(); }
+    double size(long box) { return sizes.get(box); }
+
+    /** The weight that the list tells of a box that is idle. */
+    private double told(long box) { return meaning == Routing.Weights.SILENT ? 1 : size(box); }
 
     /** It starts anew, and all routers are told. */
-    void startAgain(long box) { tell(Rig.at(box, weight(box), 0, now, Routing.Health.READY)); }
+    void startAgain(long box) {
+        live.remove(box);
+        tell(Rig.at(box, told(box), 0, now, Routing.Health.READY));
+    }
+
+    /** Live weights tell the size over what was in hand a while back. */
+    private void tellLive() {
+        if (meaning != Routing.Weights.LIVE || now % LIVE_EVERY >= STEP) {
+            return;
+        }
+        for (Routing.Endpoint box : List.copyOf(boxes.values())) {
+            long streams = begun.getOrDefault(box.id(), List.of()).stream().filter(at -> now - at < STREAM).count();
+            double held = streams + due.stream().filter(d -> d.box == box.id()).count();
+            ArrayDeque<Double> looks = live.computeIfAbsent(box.id(), id -> new ArrayDeque<>(List.of(told(id))));
+            looks.addLast(told(box.id()) / (1 + held));
+            if (looks.size() > 1 + LIVE_LATE / LIVE_EVERY) {
+                looks.removeFirst();
+            }
+            tell(new Routing.Endpoint(box.id(), looks.peekFirst(), box.zone(), box.cell(), box.bornNs(), box.kind(), box.health()));
+        }
+    }
 
     private void work(Rig rig, long request, long box) {
         int attempt = tries.merge(request, 1, Integer::sum) - 1;
         long from = Math.max(now, freeAt.getOrDefault(box, 0L));
-        long each = (long) (S / (boxPerS * weight(box) * can(box, from)));
+        long each = (long) (S / (boxPerS * size(box) * can(box, from)));
         if ((from - now) / each >= places) {
             due.add(new Due(now, rigs.indexOf(rig), rig, request, attempt, box, Routing.Outcome.FULL));
             return;
@@ -192,7 +227,7 @@
             boolean served = one.outcome == Routing.Outcome.OK;
             if (served) {
                 one.rig.on(new Routing.FirstByte(one.request, one.attempt, one.box, MS));
-                begun.merge(one.box, 1, Integer::sum);
+                begun.computeIfAbsent(one.box, id -> new ArrayList<>()).add(now);
             }
             one.rig.on(new Routing.Ended(one.request, one.attempt, one.box, one.outcome, served, MS, 0, null));
         }
@@ -201,7 +236,7 @@
 
     private Routing.LoadReport load(long box) {
         double no = Double.NaN;
-        double waits = Math.max(0, freeAt.getOrDefault(box, 0L) - now) * boxPerS * weight(box) * can(box, now) / S;
+        double waits = Math.max(0, freeAt.getOrDefault(box, 0L) - now) * boxPerS * size(box) * can(box, now) / S;
         return new Routing.LoadReport(1000 * Math.floor(waits), no, no, no, no, 100 / can(box, now), no);
     }
 
@@ -233,7 +268,7 @@
 
     /** A router that starts knows the list that it had last, and nothing else. */
     void restart(int me, int routers) {
-        Rig rig = new Rig(settings(me, routers, Reports.PULL, true, safe()), random.nextLong());
+        Rig rig = new Rig(Rig.withWeights(settings(me, routers, Reports.PULL, true, safe()), meaning), random.nextLong());
         now = Math.max(now, rig.now);
         rig.pass(now - rig.now).list(ListForm.CACHED, boxes.values().toArray(new Routing.Endpoint[0]));
         rigs.set(me, rig);
@@ -262,6 +297,7 @@
                 ask(asksAgain.removeFirst());
             }
             settleDue();
+            tellLive();
             settleCalls();
             rigs.forEach(this::answer);
             if (now / STEP % 20 == 0) {
--- a/decision/src/test/java/streamproxy/decision/FleetTest.java
+++ b/decision/src/test/java/streamproxy/decision/FleetTest.java
@@ -95,7 +95,7 @@
         for (long id = 1; id <= cold; id++) {
             List<Long> times = fleet.sent.getOrDefault(id, List.of());
             for (long at : times) {
-                double budget = rules.tipMultiple() * warmPerS * fleet.weight(id) * fleet.can(id, at) * rules.fallNs() / S;
+                double budget = rules.tipMultiple() * warmPerS * fleet.size(id) * fleet.can(id, at) * rules.fallNs() / S;
                 long got = times.stream().filter(t -> t >= at && t < at + rules.fallNs()).count();
                 assertTrue(got <= budget + 2 * Math.sqrt(budget) + 2, got + " calls in the window at " + id + ", whose budget is "
                         + budget + " " + (at - born) / MS + " ms after its start");
@@ -116,7 +116,7 @@
         int count = 20;
         double warmPerS = 10;
         Fleet fleet = Fleet.of(routers, count, seed, kinds ? KINDS : new double[] {1}).withPace(warmPerS).unevenly();
-        double perS = halves / 2.0 * warmPerS * LongStream.rangeClosed(cold + 1, count).mapToDouble(fleet::weight).sum();
+        double perS = halves / 2.0 * warmPerS * LongStream.rangeClosed(cold + 1, count).mapToDouble(fleet::size).sum();
         fleet.run(4 * S, perS);
         long born = fleet.now;
         for (long id = 1; id <= cold; id++) {
@@ -210,7 +210,7 @@
         for (int zone = 0; zone < 5; zone++) {
             Routing.Settings s = settings(zone, 5, Reports.PULL, false, safe());
             Rig rig = new Rig(new Routing.Settings(zone, 5, zone, s.classes(), s.tenants(), s.overShareWorth(), s.reports(), s.listOnRequest(),
-                    s.rules(), s.limits(), s.prices()), 70 + zone);
+                    s.rules(), s.limits(), s.prices(), s.weights()), 70 + zone);
             rig.list(ListForm.FULL, boxes);
             for (int i = 0; i < 200; i++) {
                 for (Routing.Endpoint box : boxes) {
--- a/decision/src/test/java/streamproxy/decision/Rig.java
+++ b/decision/src/test/java/streamproxy/decision/Rig.java
@@ -39,7 +39,13 @@
         return new Routing.Settings(me, gateways, 0, Arrays.asList(classes), List.of(), 1, reports, onRequest,
                 new Routing.Rules(8 * MS, 250 * MS, onRequest ? 10 * S : 0, 0.2, 20 * S, 3, S),
                 new Routing.Limits(5, true, true, reports != Routing.Reports.SILENT, false, 0),
-                new Routing.Prices(0.02, 0.002, 0, 0, 0));
+                new Routing.Prices(0.02, 0.002, 0, 0, 0), Routing.Weights.NOMINAL);
+    }
+
+    /** The same settings where the list's weights mean that. */
+    static Routing.Settings withWeights(Routing.Settings s, Routing.Weights weights) {
+        return new Routing.Settings(s.me(), s.gateways(), s.zone(), s.classes(), s.tenants(), s.overShareWorth(),
+                s.reports(), s.listOnRequest(), s.rules(), s.limits(), s.prices(), weights);
     }
 
     /** The same settings where clients can be told when to come back. */
@@ -47,7 +53,7 @@
         Routing.Limits l = s.limits();
         return new Routing.Settings(s.me(), s.gateways(), s.zone(), s.classes(), s.tenants(), s.overShareWorth(),
                 s.reports(), s.listOnRequest(), s.rules(), new Routing.Limits(l.maxAttempts(), l.secondCopies(),
-                l.cancel(), l.probes(), true, mostNs), s.prices());
+                l.cancel(), l.probes(), true, mostNs), s.prices(), s.weights());
     }
 
     static Routing.RequestClass clazz(Routing.Effect effect, Routing.Group group) {
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -169,7 +169,8 @@
     private Routing.Settings retuned(SettingsText text) {
         Routing.Settings told = text.settings();
         return new Routing.Settings(settings.me(), settings.gateways(), told.zone(), told.classes(), settings.tenants(),
-                told.overShareWorth(), told.reports(), told.listOnRequest(), told.rules(), told.limits(), told.prices());
+                told.overShareWorth(), told.reports(), told.listOnRequest(), told.rules(), told.limits(), told.prices(),
+                told.weights());
     }
 
     /** What so many descriptors, so much memory and the operator's wishes come to. */
