Carry a request's class through all layers, so that no reload changes it

Cause: the class was looked up by its name, or by an index of the list of classes, at three moments, each time in the settings then in force; the end of the window at each sending. Change: Classes.Served is looked up once, when the head is read; Request and Routing.Arrival carry the class; what was asked for lately is kept by the class's name. A request whose class is dropped between its head and its last byte is served, where it was failed. The router's zone, an index, stays as at its start.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -164,6 +165,22 @@
         boolean out() { return attempts.stream().anyMatch(a -> a.out); }
     }
 
+    /** What was asked for lately of one class. */
+    private static final class AskedLately {
+        double tokens;
+        double worth;
+
+        void fade(double by) {
+            tokens *= by;
+            worth *= by;
+        }
+
+        void add(double moreTokens, double moreWorth) {
+            tokens += moreTokens;
+            worth += moreWorth;
+        }
+    }
+
     /** A shared beginning: how often it is asked for, and the replicas that keep it. */
     private static final class Prefix {
         double seen;
@@ -191,7 +208,7 @@
     private int tokens;
     private double probeBudget = PROBES_SAVED;
     private double meanPrompt = 1000;
-    private double[][] asked;        // lately, by class: prompt tokens, and worth
+    private final Map<String, AskedLately> asked = new LinkedHashMap<>(); // by the class's name
     private double backlog;          // share of the work to turn away for the sake of the rest
     private double meanUnread;
     private double meanHeld;
@@ -224,7 +241,6 @@
         arrivals = new DecayingRate(now);
         warmBegins = new DecayingRate(now);
         arrivedAt = now;
-        asked = new double[set.classes().size()][2];
         askAt = now + random.nextLong(Math.max(1, Math.min(set.rules().askEveryNs() / 2,
                 set.gateways() * ASK_APART)));
         out.timer(1 + random.nextLong(TICK), 0);
@@ -235,14 +251,7 @@
      * than they were allowed. What was asked for lately stays with the names of the classes.
      */
     public void retune(Settings next) {
-        double[][] before = asked;
-        asked = new double[next.classes().size()][2];
-        for (int i = 0; i < asked.length; i++) {
-            for (int j = 0; j < before.length; j++) {
-                boolean same = set.classes().get(j).name().equals(next.classes().get(i).name());
-                asked[i] = same ? before[j] : asked[i];
-            }
-        }
+        asked.keySet().retainAll(next.classes().stream().map(RequestClass::name).toList());
         set = next;
         sizes.take(set.weights(), fleet.stream().mapToDouble(r -> r.weight).toArray());
     }
@@ -533,12 +542,12 @@
     // ---- A request's way ------------------------------------------------------------------------------
 
     private void arrive(long now, Arrival in) {
-        if (in.clazz() < 0 || in.clazz() >= set.classes().size() || requests.containsKey(in.request())) {
+        if (requests.containsKey(in.request())) {
             return;
         }
         Req q = new Req();
         q.in = in;
-        q.clazz = set.classes().get(in.clazz());
+        q.clazz = in.clazz();
         q.attemptsMost = set.limits().maxAttempts();
         q.aimAt = now + q.clazz.aimNs() + (long) (q.clazz.aimNsPerToken() * in.promptTokens());
         long deadline = now + in.budgetNs();
@@ -556,14 +565,11 @@
         arrivedAt = now;
         probeBudget = Math.min(PROBES_SAVED, probeBudget + PROBES_PER_REQUEST);
         double fade = Math.exp(-passed / 10);
-        for (double[] of : asked) {
-            of[0] *= fade;
-            of[1] *= fade;
-        }
-        asked[in.clazz()][0] += in.promptTokens();
-        asked[in.clazz()][1] += q.clazz.worth();
+        asked.values().forEach(of -> of.fade(fade));
+        AskedLately own = asked.computeIfAbsent(q.clazz.name(), name -> new AskedLately());
+        own.add(in.promptTokens(), q.clazz.worth());
         earnByTime(now);
-        if (shed(asked[in.clazz()]) && !toCold(now, q)) { // a cold one has its turns whatever the backlog
+        if (shed(own) && !toCold(now, q)) { // a cold one has its turns whatever the backlog
             answer(q, Choice.SHED);
             return;
         }
@@ -574,18 +580,18 @@
      * Overload: work that comes late is lost twice. While too many replicas report a backlog, a share of the
      * work is refused at once, when trying again elsewhere or later is still of use.
      */
-    private boolean shed(double[] own) {
+    private boolean shed(AskedLately own) {
         if (backlog <= 0) {
             return false;
         }
         // The least worth for its work goes first: how much of the work is worth less than this class's?
         double less = 0;
         double all = 0;
-        for (double[] of : asked) {
-            less += of[1] * own[0] < own[1] * of[0] ? of[0] : 0;
-            all += of[0];
+        for (AskedLately of : asked.values()) {
+            less += of.worth * own.tokens < own.worth * of.tokens ? of.tokens : 0;
+            all += of.tokens;
         }
-        return random.nextDouble() < Math.min(SHED_MOST, (backlog * all - less * SHED_MOST) / own[0]);
+        return random.nextDouble() < Math.min(SHED_MOST, (backlog * all - less * SHED_MOST) / own.tokens);
     }
 
     /** Moves a request on: places it, or answers it for good. */
--- a/decision/src/main/java/streamproxy/decision/Routing.java
+++ b/decision/src/main/java/streamproxy/decision/Routing.java
@@ -155,10 +155,15 @@
         public ListLease(long listUntil, long provenSince, long provenForNs) { this(listUntil, provenSince, provenForNs, List.of()); }
     }
 
-    /** A client's request. Zero in {@code session} or {@code prefix} and a negative cost mean absent. */
-    public record Arrival(long request, int clazz, int tenant, long session, long prefix, double promptTokens,
+    /**
+     * A client's request, with its class as the settings had it when the request came: whatever settings come later, it
+     * keeps that. Zero in {@code session} or {@code prefix} and a negative cost mean absent.
+     */
+    public record Arrival(long request, RequestClass clazz, int tenant, long session, long prefix, double promptTokens,
             double prefixTokens, double maxOut, long budgetNs, double costNs, boolean clientRetry)
-            implements Event { }
+            implements Event {
+        public Arrival { Objects.requireNonNull(clazz, "clazz"); }
+    }
 
     /** The answer's stream has begun. */
     public record FirstByte(long request, int attempt, long replica, long afterNs) implements Event { }
--- a/router/src/main/java/streamproxy/program/Router.java
+++ b/router/src/main/java/streamproxy/program/Router.java
@@ -155,20 +155,19 @@
     }
 
     private static Classes classes(SettingsText text, Routing.Settings settings, OperatorFile operator) {
-        return new Classes(settings.classes().stream().map(c -> c.name()).toList(),
-                text.deployment().silenceNs().stream().map(operator::stream).toList());
+        return new Classes(settings.classes(), text.deployment().silenceNs().stream().map(operator::stream).toList());
     }
 
     /**
      * The settings that a reload tells, whole, or an exception where they cannot be used. The number of routers, which
-     * this one is, and the tenants stay as at the start.
+     * this one is, its zone, an index of the zones that it was told at its start, and the tenants stay as they were.
      *
      * @throws SettingsText.Missing     where one is missing or cannot be read
      * @throws IllegalArgumentException where one is out of its range: a deadline or attempts not over 0
      */
     private Routing.Settings retuned(SettingsText text) {
         Routing.Settings told = text.settings();
-        return new Routing.Settings(settings.me(), settings.gateways(), told.zone(), told.classes(), settings.tenants(),
+        return new Routing.Settings(settings.me(), settings.gateways(), settings.zone(), told.classes(), settings.tenants(),
                 told.overShareWorth(), told.reports(), told.listOnRequest(), told.rules(), told.limits(), told.prices(),
                 told.weights());
     }
@@ -245,9 +244,9 @@
                 clients.change(wanted);
                 if (!next.equals(tuned)) {
                     tuned = next;
-                    module.retune(next); // before clients may name a new class
-                    classes.set(nextClasses);
+                    module.retune(next);
                 }
+                classes.set(nextClasses);
                 list.moveTo(node.discovery(), since);
                 if (otherNumbers) {
                     Logger.warn("reload: the number of routers, and which this one is, are as before until a restart");
--- a/router/src/main/java/streamproxy/routing/Classes.java
+++ b/router/src/main/java/streamproxy/routing/Classes.java
@@ -1,20 +1,32 @@
 package streamproxy.routing;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import streamproxy.decision.Routing;
 import streamproxy.streams.StreamLimits;
 
-/**
- * The classes that clients may name, as the settings in force have them; SIGHUP may bring others.
- *
- * @param names   as clients name them in {@code Req-Kind}
- * @param streams what a stream of each may do, in the same order
- */
-public record Classes(List<String> names, List<StreamLimits> streams) {
-    public Classes {
-        names = List.copyOf(names);
-        streams = List.copyOf(streams);
-        if (names.size() != streams.size()) {
-            throw new IllegalArgumentException(names.size() + " classes, " + streams.size() + " limits of streams");
+/** The classes that clients may name in {@code Req-Kind}, as the settings in force have them; SIGHUP may bring others. */
+public final class Classes {
+    /**
+     * One class. A request looks its own up once, when its head is read, and keeps it.
+     *
+     * @param streams what a stream of it may do
+     */
+    public record Served(Routing.RequestClass clazz, StreamLimits streams) { }
+
+    private final Map<String, Served> byName = new HashMap<>();
+
+    /** @param streams what a stream of each may do, in the same order */
+    public Classes(List<Routing.RequestClass> classes, List<StreamLimits> streams) {
+        if (classes.size() != streams.size()) {
+            throw new IllegalArgumentException(classes.size() + " classes, " + streams.size() + " limits of streams");
+        }
+        for (int i = 0; i < classes.size(); i++) {
+            byName.putIfAbsent(classes.get(i).name(), new Served(classes.get(i), streams.get(i)));
         }
     }
+
+    /** The class of that name; null where there is none. */
+    Served named(String name) { return byName.get(name); }
 }
--- a/router/src/main/java/streamproxy/routing/Exchange.java
+++ b/router/src/main/java/streamproxy/routing/Exchange.java
@@ -8,7 +8,6 @@
 import streamproxy.dispatch.AnswerGate;
 import streamproxy.dispatch.ClientDeadline;
 import streamproxy.lifecycle.DrainState;
-import streamproxy.streams.StreamLimits;
 import streamproxy.protocol.BadMessage;
 import streamproxy.protocol.HttpHead;
 import streamproxy.protocol.HttpReader;
@@ -243,9 +242,8 @@
         int memory = reader.bodyMemory(head);
         PromptHeaders prompted = PromptHeaders.read(head);
         requestId = prompted.id();
-        Classes classes = desk.classes().get();
-        int clazz = classes.names().indexOf(prompted.clazz());
-        if (clazz < 0) {
+        Classes.Served served = desk.classes().get().named(prompted.clazz());
+        if (served == null) {
             throw new BadMessage(400, "Req-Kind is unknown");
         }
         Reservation reservation = Reservation.of(desk.bodyBytes(), memory);
@@ -255,11 +253,11 @@
             throw new BadMessage(503, NO_ROOM);
         }
         try (reservation) {
-            return takeOn(head, prompted, classes.streams().get(clazz), reservation);
+            return takeOn(head, prompted, served, reservation);
         }
     }
 
-    private Then takeOn(HttpHead head, PromptHeaders prompted, StreamLimits streams, Reservation reservation) throws IOException, InterruptedException {
+    private Then takeOn(HttpHead head, PromptHeaders prompted, Classes.Served served, Reservation reservation) throws IOException, InterruptedException {
         if ("100-continue".equalsIgnoreCase(head.get("Expect"))) {
             writer.goOn();
         }
@@ -286,9 +284,9 @@
             desk.records().turnedAway(prompted, "taken_before");
             throw new BadMessage(409, "Req-Id is taken"); // a box would see a second copy of that request
         }
-        AnswerBuffer held = new AnswerBuffer(streams, desk.heldBytes(), System.nanoTime(), connection::hasEnded);
+        AnswerBuffer held = new AnswerBuffer(served.streams(), desk.heldBytes(), System.nanoTime(), connection::hasEnded);
         answer = held;
-        Request request = new Request(prompted, Math.max(0, desk.tenants().indexOf(prompted.tenant())),
+        Request request = new Request(prompted, served.clazz(), Math.max(0, desk.tenants().indexOf(prompted.tenant())),
                 new PassedOn(head.method(), head.target(), prompted.id(), head.get("Idempotency-Key"), body), held, desk.clock().now(), deadline);
         handedOn = true;
         if (!desk.module().taken(request)) {
--- a/router/src/main/java/streamproxy/routing/Request.java
+++ b/router/src/main/java/streamproxy/routing/Request.java
@@ -15,6 +15,8 @@
     private static final int ANSWERED = -2;
 
     final PromptHeaders prompt;
+    /** As the settings had it when the request's head was read; other settings change nothing here. */
+    final Routing.RequestClass clazz;
     final int tenant;
     final Client client;
     final long takenAt;
@@ -44,16 +46,18 @@
     volatile End end; // the client's side alone sets it
 
     /** One that its client has sent just now. */
-    public Request(PromptHeaders prompt, int tenant, PassedOn passedOn, Client client, long takenAt) {
-        this(prompt, tenant, passedOn, client, takenAt, ClientDeadline.of(takenAt, takenAt, prompt.deadlineNs()));
+    public Request(PromptHeaders prompt, Routing.RequestClass clazz, int tenant, PassedOn passedOn, Client client, long takenAt) {
+        this(prompt, clazz, tenant, passedOn, client, takenAt, ClientDeadline.of(takenAt, takenAt, prompt.deadlineNs()));
     }
 
     /**
      * @param takenAt  when it was read
      * @param deadline until when its client waits
      */
-    public Request(PromptHeaders prompt, int tenant, PassedOn passedOn, Client client, long takenAt, ClientDeadline deadline) {
+    public Request(PromptHeaders prompt, Routing.RequestClass clazz, int tenant, PassedOn passedOn, Client client, long takenAt,
+            ClientDeadline deadline) {
         this.prompt = prompt;
+        this.clazz = clazz;
         this.tenant = tenant;
         this.passedOn = passedOn;
         this.client = client;
--- a/router/src/test/java/streamproxy/benchlink/BenchLinkTest.java
+++ b/router/src/test/java/streamproxy/benchlink/BenchLinkTest.java
@@ -146,6 +146,17 @@
         assertArrayEquals(hex("03 03000000 c4913a5d79490100 0a124a07 8b13"), java.util.Arrays.copyOf(send, 19));
     }
 
+    /** One that the settings do not name, and one for an instance that is not there. */
+    @Test void arrivalsOfUnknownClassesArePassedOver() throws IOException {
+        Frame f = new Frame().open(3, SETTINGS);
+        f.addWithTail("0b 00000000", hex(ROW_A), 1).add("02 03000000 02 2900000000000000 00000000");
+        f.add(ARRIVAL.replaceFirst("79490100 00", "79490100 09")).add(ARRIVAL.replaceFirst("03 03000000", "03 05000000"));
+        Result r = run(f.bytes(1));
+        assertEquals(0, r.exit, err.toString());
+        assertEquals(List.of(), records(r.out, 12));
+        assertEquals(List.of(), records(r.out, 13));
+    }
+
     @Test void slotsAreLookedUpInEventOrder() throws IOException {
         Frame f = new Frame().open(3, SETTINGS).open(4, SETTINGS);
         f.addWithTail("0b 00000000", hex(ROW_A), 1).add("02 03000000 02 2900000000000000 00000000");
--- a/router/src/test/java/streamproxy/routing/ActorFixtures.java
+++ b/router/src/test/java/streamproxy/routing/ActorFixtures.java
@@ -1,5 +1,6 @@
 package streamproxy.routing;
 
+import streamproxy.decision.Routing;
 import streamproxy.decision.SettingsText;
 import streamproxy.dispatch.RuleMonitor;
 import streamproxy.limits.ConnectionLimits;
@@ -33,8 +34,22 @@
             Report.Fields=lat_ms,rif,q
             """;
 
+    /** The one class of these settings. */
+    static final Routing.RequestClass CHAT = SETTINGS.settings().classes().get(0);
+
     private ActorFixtures() { }
 
+    /** The same with classes in place of its own, each of a line "Name=..." and so on for each of its keys. */
+    static Routing.Settings withClasses(String... classes) {
+        StringBuilder text = new StringBuilder(TEXT).append("Classes.count=").append(classes.length).append('\n');
+        for (int i = 0; i < classes.length; i++) {
+            for (String key : ("GiveUp=4000000000 " + classes[i]).split(" ")) {
+                text.append("Classes.").append(i).append('.').append(key).append('\n');
+            }
+        }
+        return new SettingsText(text.toString()).settings();
+    }
+
     /** Those of a usual machine, with so many connections to a replica and so many of them being made at a time; 0: as usual. */
     static ConnectionLimits limits(int replicaMost, int connectingMost) throws ConnectionLimits.Impossible {
         return ConnectionLimits.of(1024, 192, 48L << 20, new ConnectionLimits.Wishes(0, 0, 0, 0, replicaMost, connectingMost, 3, 2));
--- a/router/src/test/java/streamproxy/stories/SettingsIntegrationTest.java
+++ b/router/src/test/java/streamproxy/stories/SettingsIntegrationTest.java
@@ -45,6 +45,17 @@
         assertTrue(ask("chat-iii", "a5").startsWith("HTTP/1.1 200 "));
     }
 
+    /** A request whose head had been read before a reload dropped its class, and its body behind it, was failed. */
+    @Test public void aRequestWhoseClassIsDroppedBetweenItsHeadAndItsLastByteIsServed() throws Exception {
+        deployment = routerOver(box(SERVES));
+        String whole = Caller.prompt("c1", "{}").replace("Host: app.svc\r\n", "Host: app.svc\r\nExpect: 100-continue\r\n");
+        Caller caller = caller();
+        caller.send(whole.substring(0, whole.length() - 2)).readTo("100 Continue\r\n\r\n"); // its head has been read
+        tell("{\"Name\":\"chat\",", "{\"Name\":\"chat-iii\",");
+        assertTrue("the new settings bind", ask("chat", "c2").startsWith("HTTP/1.1 400 "));
+        assertTrue(caller.send("{}").readTo("\n").startsWith("HTTP/1.1 200 "));
+    }
+
     /** A file cut short, without a key, or with attempts or a deadline of 0 changes nothing, not even the list's address. */
     @Test public void aBrokenFileLeavesTheOldSettingsWhole() throws Exception {
         deployment = routerOver(box(SERVES));
