Give cold replicas half of what would tip them over, and no prompt they begin late

Cause: with turns earned by what warm replicas begin, a third of what tips a cold replica over left them less work than they can do; they warm up by what they do. Change: the share is half of what would tip it over, capped at what a warm one of its size begins; sizes that are not told count half.

--- a/decision/src/main/java/streamproxy/decision/Policy.java
+++ b/decision/src/main/java/streamproxy/decision/Policy.java
@@ -84,6 +84,8 @@
     /** What each own attempt out adds, in mean prompts: reports come late, slow replicas keep theirs. */
     private static final double RUNNING = 0.1;
     private static final int DRAWN = 4; // from the zone that goes first, with two of the other beside them
+    /** What a cold replica is given of what would tip it over; the rest is left to chance. */
+    private static final double COLD_SHARE = 0.5;
     private static final double COLD_IN_TIME = 0.7; // the share of its time in which a prompt must be begun
     /** At most: from the end of an answered watch to the next call, and between calls without an answer. */
     public static final long ASK_FIRST = 300 * MS;
@@ -520,7 +522,7 @@
         double share = turnsShare(now);
         for (Rep r : fleet) {
             if (share > 0 && cold(now, r)) {
-                out.cold(r.id, sizes.ofCold(r.weight) * can(now, r) * share, warmBegins.perS(now));
+                out.cold(r.id, sizes.ofCold(r.weight) * given(now, r) * share, warmBegins.perS(now));
             } else if (r.slowStart != null && !cold(now, r)) {
                 out.warmedUp(r.slowStart.summary(now, r.id, sizes.ofCold(r.weight)));
                 r.slowStart = null;
@@ -871,13 +873,19 @@
             double share = turnsShare(now);
             for (Rep r : fleet) {
                 if (cold(now, r)) {
-                    double credit = share * sizes.ofCold(r.weight) * can(now, r);
+                    double credit = share * sizes.ofCold(r.weight) * given(now, r);
                     slowStart(now, r).begunAtWarm(now, credit, set.rules());
                 }
             }
         }
     }
 
+    private static void noteNotWaiting(Attempt attempt) {
+        if (attempt.to.slowStart != null) {
+            attempt.to.slowStart.waitsNoMore(attempt.at);
+        }
+    }
+
     /** Where the gateways begin is spread evenly, so that their turns do not come together. */
     private SlowStart slowStart(long now, Rep r) {
         if (r.slowStart == null) {
@@ -892,10 +900,15 @@
         return fleet.stream().filter(r -> isWarm(now, r)).mapToDouble(r -> sizes.ofWarm(r.weight)).sum();
     }
 
-    /** The share of what warm ones begin, by size, for a cold one that can do all; 0 where none is warm. */
+    /** The share of what warm ones begin, by size, of one that is given as much; 0 where none is warm. */
     private double turnsShare(long now) {
         double warm = warmSize(now);
-        return warm == 0 ? 0 : Math.min(1, set.rules().tipMultiple() / 3) / warm;
+        return warm == 0 ? 0 : 1 / warm;
+    }
+
+    /** What a cold replica is given, as a share of what a warm one of its size begins. */
+    private double given(long now, Rep r) {
+        return Math.min(1, COLD_SHARE * set.rules().tipMultiple() * can(now, r));
     }
 
     private boolean toCold(long now, Req q) {
@@ -927,7 +940,8 @@
     private boolean inTime(long now, Req q, Rep r) {
         // What it told was measured when it was colder; the mean of first tokens holds the others' queues.
         double usual = meanLatency > 0 ? meanLatency * MS : meanFirst;
-        double first = r.latency > 0 ? r.latency * MS : usual / can(now, r);
+        double reckoned = r.latency > 0 ? r.latency * MS : usual / can(now, r);
+        double first = Math.max(reckoned, slowStart(now, r).waited(now)); // it begins them in their order
         return first <= COLD_IN_TIME * (q.aimAt - now);
     }
 
@@ -990,6 +1004,7 @@
         Attempt a = q.attempts.get(e.attempt());
         if (!a.begun) {
             a.begun = true;
+            noteNotWaiting(a);
             noteBegun(now, a);
             meanFirst += 0.05 * (now - a.at - meanFirst);
             a.to.pending = Math.max(0, a.to.pending - q.in.promptTokens());
@@ -1019,6 +1034,7 @@
         a.to.running--;
         a.mayHaveRun = !e.outcome().neverRan();
         if (!a.begun) {
+            noteNotWaiting(a);
             a.to.pending = Math.max(0, a.to.pending - q.in.promptTokens());
             if (e.outcome() == Outcome.OK) {
                 noteBegun(now, a); // an answer in one piece
--- a/decision/src/main/java/streamproxy/decision/ReplicaSizes.java
+++ b/decision/src/main/java/streamproxy/decision/ReplicaSizes.java
@@ -10,7 +10,7 @@
     /** A list may tell anything: no replica counts for more, or a warm one for less, than this multiple of the median. */
     private static final double SPREAD_MOST = 10;
     /** What a cold replica is given of a share that is only guessed, as it may be one of the smaller ones. */
-    private static final double CARE = 2.0 / 3;
+    private static final double CARE = 0.5;
 
     private double median = 1;
     private boolean told = true;
--- a/decision/src/main/java/streamproxy/decision/SlowStart.java
+++ b/decision/src/main/java/streamproxy/decision/SlowStart.java
@@ -31,6 +31,7 @@
     private Routing.Granted granted; // by a steward, if there is one
     private final ArrayDeque<Long> sentTimes = new ArrayDeque<>();  // of one window
     private final ArrayDeque<Long> begunTimes = new ArrayDeque<>(); // of two windows
+    private final ArrayDeque<Long> waiting = new ArrayDeque<>();    // when those were sent that have not begun
     // For the log alone.
     private int arrivals;
     private int begunWarm;
@@ -77,7 +78,11 @@
         }
     }
 
-    /** An own prompt has begun there; where there is no warm replica to go by, that earns turns too. */
+    /**
+     * An own prompt has begun there.
+     *
+     * @param isAlone there is no warm replica to go by: then that earns turns, too
+     */
     void begunHere(long now, boolean isAlone, Routing.Rules rules) {
         begun++;
         begunTimes.addLast(now);
@@ -111,8 +116,15 @@
         turns--;
         sent++;
         sentTimes.addLast(now);
+        waiting.addLast(now);
     }
 
+    /** A prompt that was sent there then has begun, or has ended without. */
+    void waitsNoMore(long sentAt) { waiting.removeFirstOccurrence(sentAt); }
+
+    /** For how long the own prompt that was sent first of those that have not begun has waited; 0 where none does. */
+    long waited(long now) { return waiting.isEmpty() ? 0 : now - waiting.peekFirst(); }
+
     /** What it was sent since its start. */
     Routing.WarmUp summary(long now, long replica, double size) {
         return new Routing.WarmUp(replica, now - bornNs, size, sent, begun, arrivals, begunWarm);
