Soak: reloads change the class's rule for repeats, and each repeat is judged

Change: each life's class is safe, keyed or unsafe, and changes with each good SIGHUP; RepeatAudit judges each repeat by the classes that may have bound the request. The configuration names the list's address. SoakAuditTest plants the breaks.

--- a/lab/src/main/java/streamproxy/lab/StandIns.java
+++ b/lab/src/main/java/streamproxy/lab/StandIns.java
@@ -333,17 +333,13 @@
     public String listAddress() { return "127.0.0.1:" + StandInServer.port(list); }
 
     /** What a router is told that serves from these. */
-    public String configuration(int descriptors, int memoryMb) { return configuration(descriptors, memoryMb, GIVE_UP_MS, ""); }
+    public String configuration(int descriptors, int memoryMb) { return configuration(descriptors, memoryMb, GIVE_UP_MS, RepeatRule.SAFE); }
 
-    /**
-     * The same with another deadline of the class.
-     *
-     * @param more further members of the object, each followed by a comma
-     */
-    public String configuration(int descriptors, int memoryMb, long giveUpMs, String more) {
-        String settings = SETTINGS.replace("\"GiveUp\":" + GIVE_UP_MS + "000000", "\"GiveUp\":" + giveUpMs + "000000")
+    /** The same with another deadline of the class, and another rule for its repeats. */
+    public String configuration(int descriptors, int memoryMb, long giveUpMs, RepeatRule repeats) {
+        String settings = repeats.in(SETTINGS).replace("\"GiveUp\":" + GIVE_UP_MS + "000000", "\"GiveUp\":" + giveUpMs + "000000")
                 .replace("\"Promise\":3000000000", "\"Promise\":" + Math.min(3_000, giveUpMs) + "000000");
-        return "{" + more + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + descriptors + ",\"memory_mb\":" + memoryMb
+        return "{\"discovery\":\"" + listAddress() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + descriptors + ",\"memory_mb\":" + memoryMb
                 + "},\"known\":" + all() + ",\"settings\":" + settings + "}";
     }
 
--- a/lab/src/main/java/streamproxy/lab/soak/AttemptAudit.java
+++ b/lab/src/main/java/streamproxy/lab/soak/AttemptAudit.java
@@ -37,7 +37,10 @@
         this.breaks = breaks;
     }
 
-    void judge() { replicas.attempts().forEach(this::judge); }
+    void judge() {
+        replicas.attempts().forEach(this::judge);
+        new RepeatAudit(replicas, lab, breaks).judge(byId);
+    }
 
     /** Attempts that came too late for what they were told, by no more than the lab itself was held up meanwhile. */
     int late() { return late; }
--- a/lab/src/main/java/streamproxy/lab/soak/SoakBreak.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakBreak.java
@@ -14,6 +14,8 @@
         FOREIGN_BYTES,
         /** A request that a replica had got was sent again by another client, and served. */
         RAN_AGAIN,
+        /** A request ran again where the class that it came with allows no repeat, or not any more. */
+        REPEATED,
         /** A replica was told of more time than its client had left. */
         DEADLINE,
         /** An attempt began after its client had gone. */
--- a/lab/src/main/java/streamproxy/lab/soak/SoakPlan.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakPlan.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import streamproxy.lab.RepeatRule;
 
 /**
  * One short life of a router, drawn from a seed: what operators and signals do to it and when, how long clients wait, and
@@ -16,9 +17,10 @@
  * @param replaced    whether a second process is started beside the first before that is told to end
  * @param afterTerm   what comes after SIGTERM, in order
  * @param flood       what one client sends meanwhile as fast as it can
+ * @param repeats     the rules for repeats of its class: that of the start, and that of each good reload before the shutdown
  */
 record SoakPlan(long seed, long deadlineMs, int clients, int crowd, List<Event> events, boolean replaced, List<Event> afterTerm,
-        SoakFlood.Kind flood) {
+        SoakFlood.Kind flood, List<RepeatRule> repeats) {
     /** What is done to the process. */
     enum Kind {
         /** SIGHUP behind a new configuration that can be used. */
@@ -57,11 +59,12 @@
     SoakPlan {
         events = List.copyOf(events);
         afterTerm = List.copyOf(afterTerm);
+        repeats = List.copyOf(repeats);
     }
 
     /** The same life with so many clients, a crowd in proportion, and no flood. */
     SoakPlan withClients(int fewer) {
-        return new SoakPlan(seed, deadlineMs, fewer, crowd * fewer / CLIENTS, events, replaced, afterTerm, SoakFlood.Kind.NONE);
+        return new SoakPlan(seed, deadlineMs, fewer, crowd * fewer / CLIENTS, events, replaced, afterTerm, SoakFlood.Kind.NONE, repeats);
     }
 
     static SoakPlan of(long seed) {
@@ -74,7 +77,16 @@
         }
         boolean replaced = random.nextDouble() < REPLACED_SHARE;
         List<Event> after = draw(random, AFTER, random.nextInt(3), PAUSE_MOST_MS / 2);
-        return new SoakPlan(seed, deadline, CLIENTS, crowd, events, replaced, after, flood(new SplittableRandom(seed ^ 0xF100DL)));
+        return new SoakPlan(seed, deadline, CLIENTS, crowd, events, replaced, after, flood(new SplittableRandom(seed ^ 0xF100DL)),
+                repeats(new SplittableRandom(seed ^ 0x4E9EA7L)));
+    }
+
+    private static List<RepeatRule> repeats(SplittableRandom random) {
+        List<RepeatRule> rules = new ArrayList<>();
+        for (int i = 0; i <= EVENTS_MOST; i++) {
+            rules.add(RepeatRule.values()[random.nextInt(RepeatRule.values().length)]);
+        }
+        return rules;
     }
 
     private static SoakFlood.Kind flood(SplittableRandom random) {
--- a/lab/src/main/java/streamproxy/lab/soak/SoakReplicas.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakReplicas.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -21,9 +22,12 @@
     /**
      * An attempt as it arrived, whole or as far as the router wrote it.
      *
+     * @param number     how many whole attempts of its request have come with it; 0 for one that is not whole
      * @param endedForNs how long the list had told by then that nothing new may be sent to its replica; 0 where something might
      */
-    record Attempt(StandIns.Message message, long at, boolean whole, long endedForNs) { }
+    record Attempt(StandIns.Message message, long at, int number, long endedForNs) {
+        boolean whole() { return number > 0; }
+    }
 
     /** What the stand-ins do with prompts. */
     private final class Prompts implements StandIns.Script {
@@ -32,11 +36,12 @@
                 socket.getOutputStream().write('y');
                 return false;
             }
-            attempts.add(new Attempt(message, System.nanoTime(), true, standIns.endedForNs(socket.getLocalPort())));
-            return serve(message, socket);
+            int number = tries.merge(id(message), 1, Integer::sum);
+            attempts.add(new Attempt(message, System.nanoTime(), number, standIns.endedForNs(socket.getLocalPort())));
+            return serve(message, number, socket);
         }
 
-        @Override public void unfinished(StandIns.Message begun) { attempts.add(new Attempt(begun, System.nanoTime(), false, 0)); }
+        @Override public void unfinished(StandIns.Message begun) { attempts.add(new Attempt(begun, System.nanoTime(), 0, 0)); }
     }
 
     /** What a replica does with an attempt. */
@@ -79,6 +84,7 @@
     /** The last such stream of each request, by its id. */
     private final Map<String, Broken> brokenOff = new ConcurrentHashMap<>();
     private final Map<String, Integer> tries = new ConcurrentHashMap<>();
+    private final Set<String> turnedAway = ConcurrentHashMap.newKeySet();
     private final long seed;
     private final StandIns standIns;
     private final SoakLinks links; // null: routers reach the replicas themselves
@@ -122,10 +128,16 @@
     /** The proxies before the replicas; null where there are none. */
     SoakLinks links() { return links; }
 
-    private boolean serve(StandIns.Message message, Socket socket) throws IOException, InterruptedException {
-        String id = field(message.head(), "Req-Id");
-        int attempt = tries.merge(String.valueOf(id), 1, Integer::sum);
-        SplittableRandom random = new SplittableRandom(seed ^ String.valueOf(id).hashCode() * 31L + attempt);
+    private static String id(StandIns.Message message) { return String.valueOf(field(message.head(), "Req-Id")); }
+
+    /** Whether its replica turned that attempt away, so that it never ran. */
+    boolean turnedAway(Attempt attempt) { return turnedAway.contains(name(id(attempt.message()), attempt.number())); }
+
+    private static String name(String id, int attempt) { return id + "#" + attempt; }
+
+    private boolean serve(StandIns.Message message, int attempt, Socket socket) throws IOException, InterruptedException {
+        String id = id(message);
+        SplittableRandom random = new SplittableRandom(seed ^ id.hashCode() * 31L + attempt);
         Trouble trouble = random.nextInt(TROUBLE_IN) > 0 ? Trouble.NONE
                 : Trouble.values()[1 + random.nextInt(Trouble.values().length - 1)];
         OutputStream out = socket.getOutputStream();
@@ -138,7 +150,10 @@
                 return false;
             }
             case FAILS -> write(out, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
-            case TURNED_AWAY -> write(out, "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
+            case TURNED_AWAY -> {
+                turnedAway.add(name(id, attempt));
+                write(out, "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
+            }
             case RESETS -> {
                 socket.setSoLinger(true, 0);
                 return false;
@@ -165,7 +180,7 @@
         }
         if (unsound) {
             UnsoundEnd end = UnsoundEnd.values()[random.nextInt(UnsoundEnd.values().length)];
-            brokenOff.put(String.valueOf(id), new Broken(end, System.nanoTime()));
+            brokenOff.put(id, new Broken(end, System.nanoTime()));
             endUnsoundly(socket, end);
             return random.nextBoolean() && end.leavesConnection();
         }
--- a/lab/src/main/java/streamproxy/lab/soak/SoakRequest.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakRequest.java
@@ -1,7 +1,9 @@
 package streamproxy.lab.soak;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.SplittableRandom;
+import streamproxy.lab.RepeatRule;
 
 /** One request of a client: what it says, and what became of it. Its client writes it; it is judged once the run is over. */
 final class SoakRequest {
@@ -45,6 +47,7 @@
     volatile End end;
     volatile String events = ""; // those of its answer
     volatile String note = "";
+    volatile Set<RepeatRule> rules = Set.of(RepeatRule.SAFE); // those that may bind it
 
     SoakRequest(String id, long deadlineMs, SplittableRandom random) {
         this.id = id;
--- a/lab/src/main/java/streamproxy/lab/soak/SoakRun.java
+++ b/lab/src/main/java/streamproxy/lab/soak/SoakRun.java
@@ -49,6 +49,8 @@
     /** The form's own slack for what is looked at from outside. */
     private static final long LOOK_SLACK_NS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final int HALF_CALL_MS = 1_500;
+    /** A request's head is read so long after its last byte at the latest. */
+    private static final long HEAD_READ_NS = TimeUnit.MILLISECONDS.toNanos(150);
     private static final List<String> FAULTS_IN_LOG = List.of("a request failed", "in thread", "goes on after", "go on after",
             "OutOfMemoryError", "StackOverflowError", "stands still");
 
@@ -75,6 +77,8 @@
     private final InetSocketAddress listen = RouterProcess.free();
     private DaemonProcess router;
     private Path config;
+    private final RulesInForce rules;
+    private int reloads; // good ones so far
     private int copied;
     private long terminatedAt;
     private long killedAt;
@@ -103,6 +107,7 @@
         this.folder = folder;
         this.replicas = replicas;
         this.start = start;
+        rules = new RulesInForce(plan.repeats().get(0));
         Files.createDirectories(folder);
         injector = faults.callsFail() ? new FaultInjector(folder.resolve("faults")) : null;
     }
@@ -149,6 +154,7 @@
         } finally {
             router.kill();
         }
+        noteRules();
         SoakAudit audit = new SoakAudit(requests(), replicas, terminatedAt, killedAt, breaks);
         audit.judge();
         judgeLog(router);
@@ -188,7 +194,7 @@
     }
 
     private void writeConfiguration(long deadlineMs) throws IOException {
-        Files.writeString(config, replicas.standIns().configuration(DESCRIPTORS, MEMORY_MB, deadlineMs, ""));
+        Files.writeString(config, replicas.standIns().configuration(DESCRIPTORS, MEMORY_MB, deadlineMs, plan.repeats().get(reloads)));
     }
 
     private DaemonProcess process(String name) throws IOException {
@@ -263,12 +269,10 @@
     private void play(SoakPlan.Event event) throws Exception {
         TimeUnit.MILLISECONDS.sleep(event.afterMs());
         switch (event.kind()) {
-            case RELOAD -> {
-                writeConfiguration(plan.deadlineMs());
-                router.hangUp();
-            }
+            case RELOAD -> reload();
             case BROKEN_RELOAD -> {
                 Files.writeString(config, "{\"settings\":");
+                rules.spoilt(System.nanoTime());
                 router.hangUp();
             }
             case QUIESCE -> call("/admin/quiesce");
@@ -279,6 +283,14 @@
         }
     }
 
+    /** Brings the next rule for repeats; once the process is to leave, all stays as it is. */
+    private void reload() throws Exception {
+        reloads += terminatedAt == 0 ? 1 : 0;
+        writeConfiguration(plan.deadlineMs());
+        rules.reloaded(plan.repeats().get(reloads), System.nanoTime());
+        router.hangUp();
+    }
+
     /** An operator's call, which is to be answered at once: yes, or no where the process is leaving. */
     private void call(String path) {
         DaemonProcess.Reply reply = router.call("POST", path);
@@ -442,6 +454,11 @@
 
     List<SoakRequest> requests() { return clients.stream().flatMap(client -> client.requests().stream()).toList(); }
 
+    private void noteRules() {
+        requests().stream().filter(SoakRequest::isSent)
+                .forEach(request -> request.rules = rules.between(request.firstByteAt, request.sentAt + HEAD_READ_NS));
+    }
+
     private int count(SoakRequest.End end) { return (int) requests().stream().filter(request -> request.end == end).count(); }
 
     private void add(Rule rule, String text) { breaks.add(new SoakBreak(rule, text)); }
--- a/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
+++ b/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
@@ -6,12 +6,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import streamproxy.lab.RepeatRule;
 import streamproxy.lab.StandIns;
 import streamproxy.lab.soak.SoakBreak.Rule;
 
@@ -125,6 +127,44 @@
         assertEquals(List.of(Rule.DRAINED_REPLICA), judgedAtEnded(request, 6_800));
     }
 
+    /** A repeat that the class allows no more, or never allowed, is a break; one of a class that may bind as well is none. */
+    @Test void aRepeatThatNoRuleThatMayBindAllowsIsABreak() {
+        SoakRequest request = request(SoakRequest.End.REFUSED, 0, SECOND);
+        assertEquals(List.of(), judgedAgain(request, 1_100, RepeatRule.KEYED));
+        assertEquals(List.of(Rule.REPEATED), judgedAgain(request, 1_300, RepeatRule.KEYED));
+        assertEquals(List.of(Rule.REPEATED), judgedAgain(request, 10, RepeatRule.UNSAFE));
+        assertEquals(List.of(), judgedAgain(request, 1_300, RepeatRule.SAFE));
+        assertEquals(List.of(), judgedAgain(request, 1_300, RepeatRule.KEYED, RepeatRule.SAFE));
+    }
+
+    private List<Rule> judgedAgain(SoakRequest request, long afterMs, RepeatRule... rules) {
+        request.sentAt = System.nanoTime();
+        request.endedAt = request.sentAt + 2 * SECOND;
+        request.rules = Set.of(rules);
+        String whole = attempt(request, "0.000", request.body);
+        StandIns.Message message = new StandIns.Message(whole.substring(0, whole.indexOf("\r\n\r\n") + 4), request.bodyBytes());
+        replicas.attempts().clear();
+        replicas.attempts().add(new SoakReplicas.Attempt(message, request.sentAt, 1, 0));
+        replicas.attempts().add(new SoakReplicas.Attempt(message, request.sentAt + TimeUnit.MILLISECONDS.toNanos(afterMs), 2, 0));
+        return judged(request, 0);
+    }
+
+    /** Until a reload binds either rule may; a request that began before it keeps its own. */
+    @Test void rulesInForceAreThoseThatMayBind() {
+        RulesInForce rules = new RulesInForce(RepeatRule.KEYED);
+        long at = 100 * SECOND;
+        rules.reloaded(RepeatRule.SAFE, at);
+        assertEquals(Set.of(RepeatRule.KEYED), rules.between(at - SECOND, at - 1));
+        assertEquals(Set.of(RepeatRule.KEYED, RepeatRule.SAFE), rules.between(at - SECOND, at));
+        assertEquals(Set.of(RepeatRule.KEYED, RepeatRule.SAFE), rules.between(at + SECOND, at + SECOND));
+        assertEquals(Set.of(RepeatRule.SAFE), rules.between(at + 2 * SECOND, at + 2 * SECOND));
+        rules.spoilt(at + 2 * SECOND);
+        assertEquals(Set.of(RepeatRule.SAFE), rules.between(at + 4 * SECOND, at + 4 * SECOND));
+        rules.reloaded(RepeatRule.UNSAFE, at + 5 * SECOND);
+        rules.spoilt(at + 5 * SECOND + 1);
+        assertEquals(Set.of(RepeatRule.SAFE, RepeatRule.UNSAFE), rules.between(at + 9 * SECOND, at + 9 * SECOND));
+    }
+
     /** What is judged of an attempt that reaches a replica so long after the list told that it has gone. */
     private List<Rule> judgedAtEnded(SoakRequest request, long endedForMs) {
         request.sentAt = System.nanoTime();
@@ -133,7 +173,7 @@
         int body = whole.indexOf("\r\n\r\n") + 4;
         StandIns.Message message = new StandIns.Message(whole.substring(0, body), request.bodyBytes());
         replicas.attempts().clear();
-        replicas.attempts().add(new SoakReplicas.Attempt(message, request.sentAt, true, TimeUnit.MILLISECONDS.toNanos(endedForMs)));
+        replicas.attempts().add(new SoakReplicas.Attempt(message, request.sentAt, 1, TimeUnit.MILLISECONDS.toNanos(endedForMs)));
         return judged(request, 0);
     }
 }
