Soak's own test: send to a replica by its port, and judge repeats within their time

The new test of repeats had a deadline that was over before its second attempt, which is a break of its own. Change: the port is asked for; the request of that test has 5 s. No bound is changed.

--- a/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
+++ b/lab/src/test/java/streamproxy/lab/soak/SoakAuditTest.java
@@ -49,9 +49,7 @@
 
     /** Sends those bytes to a replica, and reads until it answers or closes. */
     private void reachesAReplica(String bytes) throws Exception {
-        String known = replicas.standIns().configuration(10, 10);
-        int at = known.indexOf("127.0.0.1:") + "127.0.0.1:".length();
-        try (Socket socket = new Socket("127.0.0.1", Integer.parseInt(known.substring(at, known.indexOf('"', at))))) {
+        try (Socket socket = new Socket("127.0.0.1", replicas.standIns().port(0))) {
             socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
             socket.shutdownOutput(); // the end of what was not written whole
             while (replicas.attempts().isEmpty()) {
@@ -129,7 +127,8 @@
 
     /** A repeat that the class allows no more, or never allowed, is a break; one of a class that may bind as well is none. */
     @Test void aRepeatThatNoRuleThatMayBindAllowsIsABreak() {
-        SoakRequest request = request(SoakRequest.End.REFUSED, 0, SECOND);
+        SoakRequest request = new SoakRequest("abc", 5 * DEADLINE_MS, new SplittableRandom(1)); // in time each time
+        request.ends(SoakRequest.End.REFUSED, "");
         assertEquals(List.of(), judgedAgain(request, 1_100, RepeatRule.KEYED));
         assertEquals(List.of(Rule.REPEATED), judgedAgain(request, 1_300, RepeatRule.KEYED));
         assertEquals(List.of(Rule.REPEATED), judgedAgain(request, 10, RepeatRule.UNSAFE));
